--- /dev/null
+++ b/src/main/java/wingroad/routing/Router.java
@@ -0,0 +1,63 @@
+package wingroad.routing;
+
+import java.time.Duration;
+import wingroad.state.Member;
+import wingroad.state.Submission;
+
+/**
+ * What a host (a protocol's front, or a simulator's adapter) says to the module, and how it gets decisions.
+ *
+ * <p>All times are spans since the instance's start; {@code now} never goes back. The input calls only
+ * update what is known. After any of them, and at {@link #wakeAt()}, the host calls {@link #next} until it
+ * returns null and carries out each decision in turn.
+ */
+public interface Router {
+    /** A member list begins; {@code whole}: what is not named in it is gone. */
+    void listStarts(Duration now, boolean whole);
+
+    /** One entry of the list that has begun. {@code startedAt} is null for long ago. */
+    void listed(Duration now, long member, int group, int zone, int kind, double weight, boolean primary,
+                boolean draining, boolean gone, Duration startedAt);
+
+    /** The list that has begun is complete. */
+    void listEnds(Duration now);
+
+    /** A call for the list failed; the one held stays. */
+    void listFailed(Duration now);
+
+    /**
+     * A client's txn was accepted; one final answer is owed within {@code left}.
+     *
+     * @param session    the client's session, or -1
+     * @param sinceWrite how long ago the session's last write was committed, or null
+     * @param retry      the client is known to have asked before
+     */
+    void txnArrived(Duration now, String txn, int type, int group, Duration left, long session,
+                    Duration sinceWrite, boolean retry);
+
+    /**
+     * A submission has ended.
+     *
+     * @param over     the txn has its final answer
+     * @param role     what the answer says of the member's role
+     * @param position the log position in the answer (for a committed write its commit time), or null
+     */
+    void submissionEnded(Duration now, String txn, int submission, long member, Submission.End end,
+                         Duration took, boolean over, Member.Role role, Duration position);
+
+    /** A member's own report came with an answer or a probe; figures not in it are NaN. */
+    void reported(Duration now, long member, Member.Role role, Duration position, double held,
+                  double waiting, double busy);
+
+    /** A probe has ended; what it found was given to {@link #reported} before. */
+    void probeEnded(Duration now, long member, boolean answered, Duration took);
+
+    /** The client has left; no answer is owed. */
+    void txnLapsed(Duration now, String txn);
+
+    /** The next decision, or null when there is none for now. */
+    Decision next(Duration now);
+
+    /** When to call {@link #next} again even if nothing comes in, or null. */
+    Duration wakeAt();
+}
--- /dev/null
+++ b/src/main/java/wingroad/routing/TxnRouter.java
@@ -0,0 +1,937 @@
+// THE MODULE: every decision of the driver. How to call it: Router.java, beside this file, is its interface.
+// Build one with the deployment's terms, a seed and a place for log lines; tell it what happens through the
+// input calls; after each, and at wakeAt(), pull next(now) until it is null. Words and reasons: docs/design.md.
+package wingroad.routing;
+
+import java.time.Duration;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.Iterator;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.PriorityQueue;
+import java.util.Random;
+import java.util.function.Consumer;
+import wingroad.state.DecayingSum;
+import wingroad.state.Group;
+import wingroad.state.Member;
+import wingroad.state.Member.Role;
+import wingroad.state.Submission;
+import wingroad.state.Submission.End;
+import wingroad.state.Txn;
+import wingroad.state.TxnType;
+import wingroad.state.TxnType.Freshness;
+import wingroad.state.TxnType.Repeat;
+
+/** Decides by the Failover Plugin v2 mechanism: roles per group, writer search, held writes, fresh reads. */
+public final class TxnRouter implements Router {
+    /** The design's figures: the primary's probe at rest, and its fast rate and span after a change. */
+    private static final Duration STEADY_PROBE = Duration.ofSeconds(5);
+    private static final Duration WATCH_PROBE = Duration.ofMillis(100);
+    private static final Duration WATCH_SPAN = Duration.ofSeconds(30);
+    private static final Duration SEARCH_PAUSE = Duration.ofMillis(100);
+    private static final double SPILL_SHARE = 0.1;
+    /** Work that a member may leave unanswered, in usual answer times, before it counts as silent. */
+    private static final double PATIENCE = 4;
+    /** How many submissions a member gets at once before its answers have set its limit. */
+    private static final double FIRST_LIMIT = 8;
+
+    private record Alarm(Duration at, long number, Object what) {
+    }
+
+    private final Map<String, Object> terms;
+    private final Random random;
+    private final Consumer<String> log;
+    private final TxnType[] types;
+    private final DecayingSum[] tookSum;
+    private final DecayingSum[] tookCount;
+    /** What each txn type takes of a member that is not crowded: a low mean that rises only slowly. */
+    private final double[] calm;
+    private final DecayingSum firsts;
+    private final DecayingSum furthers;
+    private final DecayingSum ended;
+    private final DecayingSum committed;
+    private final Duration memory;
+    private final Duration step;
+    private final Duration cold;
+    private final boolean checked;
+    private final boolean ask;
+
+    private final Map<Long, Member> members = new LinkedHashMap<>();
+    private final Map<Integer, Group> groups = new LinkedHashMap<>();
+    private final Map<String, Txn> txns = new HashMap<>();
+    private final Map<Long, Duration> sessionWrites = new HashMap<>();
+    private final ArrayDeque<Decision> ready = new ArrayDeque<>();
+    private final ArrayDeque<Group> dirty = new ArrayDeque<>();
+    private final PriorityQueue<Alarm> alarms = new PriorityQueue<>((a, b) ->
+        a.at.equals(b.at) ? Long.compare(a.number, b.number) : a.at.compareTo(b.at));
+    private long alarmNumber;
+    private boolean listWhole;
+    private final List<Member> listNamed = new ArrayList<>();
+    private Duration listHeard = Duration.ZERO;
+    private int listFailures;
+    private boolean listAsked;
+    private boolean listFollowed;
+
+    public TxnRouter(Map<String, Object> terms, long seed, Consumer<String> log) {
+        this.terms = terms;
+        this.random = new Random(seed);
+        this.log = log;
+        this.step = time("step");
+        this.cold = time("cold");
+        this.checked = !terms.getOrDefault("members-check", "silent").equals("silent");
+        this.ask = "ask".equals(terms.get("member-list"));
+        this.types = new TxnType[(int) number("txn-types")];
+        this.tookSum = new DecayingSum[types.length];
+        this.tookCount = new DecayingSum[types.length];
+        this.calm = new double[types.length];
+        Duration longest = Duration.ofSeconds(1);
+        for (int i = 0; i < types.length; i++) {
+            String t = "txn-type." + i + ".";
+            types[i] = new TxnType(i, time(t + "sla-time"), time(t + "expiry"), number(t + "value"),
+                number(t + "late-share"), switch (String.valueOf(terms.get(t + "repeat"))) {
+                    case "repeatable" -> Repeat.REPEATABLE;
+                    case "referenced" -> Repeat.REFERENCED;
+                    default -> Repeat.ONCE_ONLY;
+                }, switch (String.valueOf(terms.get(t + "reads"))) {
+                    case "update" -> Freshness.UPDATE;
+                    case "latest" -> Freshness.LATEST;
+                    case "own-writes" -> Freshness.OWN_WRITES;
+                    case "recent" -> Freshness.RECENT;
+                    default -> Freshness.LOOSE;
+                }, time(t + "oldest-data"), time(t + "window"), "all".equals(terms.get(t + "repeats-dropped-by")));
+            longest = max(longest, types[i].slaTime());
+            calm[i] = ms(types[i].slaTime()) / 4;
+        }
+        this.memory = longest;
+        for (int i = 0; i < types.length; i++) {
+            tookSum[i] = new DecayingSum(longest.multipliedBy(4));
+            tookCount[i] = new DecayingSum(longest.multipliedBy(4));
+        }
+        this.firsts = new DecayingSum(longest.multipliedBy(4));
+        this.furthers = new DecayingSum(longest.multipliedBy(4));
+        this.ended = new DecayingSum(longest.multipliedBy(4));
+        this.committed = new DecayingSum(longest.multipliedBy(4));
+    }
+
+    // ---- inputs: they only update what is known ----
+
+    @Override
+    public void listStarts(Duration now, boolean whole) {
+        listWhole = whole;
+        listNamed.clear();
+    }
+
+    @Override
+    public void listed(Duration now, long id, int group, int zone, int kind, double weight, boolean primary,
+                       boolean draining, boolean gone, Duration startedAt) {
+        Member m = members.computeIfAbsent(id, i -> new Member(i, memory));
+        if (m.group == null) {
+            m.group = groups.computeIfAbsent(group, Group::new);
+            m.group.spillShare = SPILL_SHARE;
+            m.group.members.add(m);
+            m.limit = FIRST_LIMIT;
+        }
+        m.zone = zone;
+        m.kind = kind;
+        m.weight = weight;
+        m.seenDraining |= draining;
+        if (startedAt != null && (m.startedAt == null || startedAt.compareTo(m.startedAt) > 0)) {
+            m.startedAt = startedAt;
+            if (m.listed) {
+                m.toldReplica = false;
+            }
+        }
+        tellStop(m, draining || gone, gone, now);
+        m.listed = !gone;
+        listNamed.add(m);
+        String shows = String.valueOf(terms.get("role-in-list"));
+        if (primary && m.group.primary == null && m.roleAt == null && shows.equals("late") && !gone) {
+            m.group.primary = m;
+            m.group.claimAt = null;
+        }
+        touch(m.group);
+    }
+
+    private void tellStop(Member m, boolean stop, boolean gone, Duration now) {
+        if (stop && m.stopTold == null) {
+            m.stopTold = now;
+        } else if (!stop) {
+            m.stopTold = null;
+        }
+        m.gone = gone;
+    }
+
+    @Override
+    public void listEnds(Duration now) {
+        if (listWhole) {
+            for (Member m : members.values()) {
+                if (!listNamed.contains(m)) {
+                    m.listed = false;
+                    tellStop(m, true, true, now);
+                }
+            }
+        }
+        listHeard = now;
+        listFailures = 0;
+        if (!listAsked && ask) {
+            listAsked = true;
+            alarm(now, listNamed);
+        }
+    }
+
+    @Override
+    public void listFailed(Duration now) {
+        listFailures++;
+        Duration pause = time("ask-within").dividedBy(64).multipliedBy(1L << Math.min(listFailures, 4));
+        alarm(now.plus(times(pause, 0.5 + random.nextDouble())), listNamed);
+    }
+
+    @Override
+    public void txnArrived(Duration now, String id, int type, int group, Duration left, long session,
+                           Duration sinceWrite, boolean retry) {
+        Group g = groups.computeIfAbsent(group, Group::new);
+        Txn t = new Txn(id, types[type], g, now, now.plus(left), session, retry);
+        if (t.type.freshness() == Freshness.OWN_WRITES) {
+            t.mustReflect = "client".equals(terms.get("session-marks"))
+                ? sinceWrite == null ? null : now.minus(sinceWrite) : sessionWrites.get(session);
+        }
+        txns.put(id, t);
+        hold(t, now);
+        alarm(giveUpAt(t), t);
+    }
+
+    @Override
+    public void submissionEnded(Duration now, String id, int number, long member, End end, Duration took,
+                                boolean over, Role role, Duration position) {
+        Member m = members.get(member);
+        Txn t = txns.get(id);
+        Submission s = null;
+        for (Submission o : m.out) {
+            if (o.txn.id.equals(id) && o.number == number) {
+                s = o;
+                break;
+            }
+        }
+        if (s == null) {
+            return;
+        }
+        m.out.remove(s);
+        s.end = end;
+        ended.add(now, 1);
+        if (end == End.COMMITTED) {
+            committed.add(now, 1);
+            measure(m, s.txn, took, now);
+            if (s.txn.type.update() && s.txn.session >= 0 && position != null) {
+                sessionWrites.merge(s.txn.session, position, TxnRouter::max);
+            }
+        }
+        if (end == End.COMMITTED || end == End.MISSED || end == End.ERROR || end == End.FULL) {
+            signOfLife(m, now, end);
+        } else if (end != End.CANCELLED && end != End.MOOT) {
+            fault(m, now, end);
+        }
+        if (m.silent && m.out.isEmpty()) {
+            m.silent = false;
+            fault(m, now, end);
+        }
+        if (role != Role.UNKNOWN) {
+            m.toldReplica = role == Role.REPLICA;
+            heard(m, role, role == Role.PRIMARY && position != null && end != End.COMMITTED ? position : now, now);
+        }
+        heardPosition(m, position, now);
+        Group g = m.group;
+        if (s.txn.type.update() && g.primary == m && (end == End.MISSED || end == End.ERROR
+            || end == End.UNREACHABLE || end == End.RESET || end == End.TIMED_OUT)) {
+            search(g, now, "write " + end + " at " + m.id);
+        }
+        touch(g);
+        if (t != null && over) {
+            close(t);
+        } else if (t != null && t.out() == 0) {
+            hold(t, now);
+        }
+    }
+
+    @Override
+    public void reported(Duration now, long member, Role role, Duration position, double held, double waiting,
+                         double busy) {
+        Member m = members.get(member);
+        // A report is as old as it is: a primary's position is the time at which it was made, a replica's is
+        // never later than that, so the position dates the role.
+        if (m != null && role != Role.UNKNOWN && position != null) {
+            heard(m, role, position, now);
+        }
+        if (m != null) {
+            heardPosition(m, position, now);
+            touch(m.group);
+        }
+    }
+
+    @Override
+    public void probeEnded(Duration now, long member, boolean answered, Duration took) {
+        Member m = members.get(member);
+        if (m == null) {
+            return;
+        }
+        m.probeOut = false;
+        if (!answered) {
+            m.wasLost = true;
+            if (m.group.primary == m) {
+                search(m.group, now, "probe failed at " + m.id);
+            }
+        }
+        touch(m.group);
+    }
+
+    @Override
+    public void txnLapsed(Duration now, String id) {
+        Txn t = txns.get(id);
+        if (t != null) {
+            close(t);
+        }
+    }
+
+    // ---- decisions ----
+
+    @Override
+    public Decision next(Duration now) {
+        while (true) {
+            if (!ready.isEmpty()) {
+                return ready.poll();
+            }
+            Alarm a = alarms.peek();
+            if (a != null && a.at.compareTo(now) <= 0) {
+                alarms.poll();
+                if (a.what instanceof Txn t) {
+                    check(t, now);
+                } else if (a.what instanceof Group g) {
+                    g.wakeAsked = null;
+                    touch(g);
+                } else {
+                    followList(now);
+                }
+            } else if (!dirty.isEmpty()) {
+                Group g = dirty.poll();
+                g.dirty = false;
+                decide(g, now);
+            } else {
+                return null;
+            }
+        }
+    }
+
+    @Override
+    public Duration wakeAt() {
+        return alarms.isEmpty() ? null : alarms.peek().at;
+    }
+
+    private void decide(Group g, Duration now) {
+        Member p = g.primary;
+        if (p != null && !g.searching && mustStop(p, now, true)) {
+            search(g, now, "primary told to stop " + p.id);
+        }
+        if (g.searching) {
+            searchOn(g, now);
+        } else if (p != null && (!g.writes.isEmpty() || g.nextProbe != null)) {
+            watch(g, p, now);
+        }
+        placeWrites(g, now);
+        placeReads(g, now);
+    }
+
+    // ---- roles and the writer search ----
+
+    /** Evidence of a role, with the time that it is proven for; the newest claim to be primary wins. */
+    private void heard(Member m, Role role, Duration at, Duration now) {
+        Group g = m.group;
+        if (m.roleAt == null || at.compareTo(m.roleAt) >= 0) {
+            m.role = role;
+            m.roleAt = at;
+        }
+        if (role == Role.REPLICA) {
+            if (g.primary == m && (g.claimAt == null || at.compareTo(g.claimAt) > 0)) {
+                search(g, now, "primary says replica " + m.id);
+            }
+            return;
+        }
+        if (g.claimAt != null && at.compareTo(g.claimAt) < 0) {
+            return;
+        }
+        if (g.primary == m && !g.searching) {
+            g.claimAt = at;
+            return;
+        }
+        // Guards against confirming a primary that is gone or hangs by a report from before it went.
+        if (g.primary == m && (at.compareTo(g.searchSince) <= 0 || m.silent || m.shunnedUntil.compareTo(now) > 0)) {
+            return;
+        }
+        boolean changed = g.primary != m;
+        Member old = g.primary;
+        g.primary = m;
+        g.claimAt = at;
+        if (g.searching || changed) {
+            log.accept("group " + g.id + " primary " + m.id + (g.searching ? " found after "
+                + (long) ms(now.minus(g.searchSince)) + " ms, held " + g.writes.size() : " by claim"));
+        }
+        g.searching = false;
+        g.searchRounds = 0;
+        g.watchUntil = now.plus(WATCH_SPAN);
+        g.nextProbe = now.plus(WATCH_PROBE);
+        if (old != null && changed) {
+            freeReferenced(old);
+        }
+        touch(g);
+    }
+
+    /** What a former primary still holds of referenced txns goes to the new one. */
+    private void freeReferenced(Member old) {
+        for (Submission s : old.out) {
+            if (s.txn.type.repeat() == Repeat.REFERENCED && !s.txn.answered) {
+                cancel(s);
+            }
+        }
+    }
+
+    private void search(Group g, Duration now, String cause) {
+        if (!g.searching) {
+            g.searching = true;
+            g.searchSince = now;
+            g.searchRounds = 0;
+            g.nextProbe = now;
+            log.accept("group " + g.id + " search: " + cause);
+            touch(g);
+        }
+    }
+
+    private void searchOn(Group g, Duration now) {
+        if (now.compareTo(g.nextProbe) >= 0) {
+            for (Member m : g.members) {
+                probe(m, now);
+            }
+            // A long search must be no load of its own: the pause grows to the time that a lost probe takes.
+            g.searchRounds++;
+            Duration most = max(SEARCH_PAUSE, time("connect-time-out"));
+            g.nextProbe = now.plus(min(most, times(SEARCH_PAUSE, Math.pow(1.2, g.searchRounds - 1))));
+        }
+        wake(g, g.nextProbe);
+    }
+
+    private void watch(Group g, Member p, Duration now) {
+        if (g.nextProbe == null || now.compareTo(g.nextProbe) >= 0) {
+            if (g.nextProbe != null) {
+                probe(p, now);
+            }
+            g.nextProbe = now.plus(now.compareTo(g.watchUntil) < 0 ? WATCH_PROBE : STEADY_PROBE);
+        }
+        wake(g, g.nextProbe);
+    }
+
+    private boolean probe(Member m, Duration now) {
+        if (m.probeOut || !m.listed || !flag("may-probe") || mustStop(m, now, true)) {
+            return false;
+        }
+        m.probeOut = true;
+        m.probedAt = now;
+        ready.add(Decision.probe(m.id));
+        return true;
+    }
+
+    // ---- placing ----
+
+    private void placeWrites(Group g, Duration now) {
+        if (g.writes.isEmpty()) {
+            return;
+        }
+        Member p = g.primary;
+        if (p == null) {
+            search(g, now, "no primary known");
+            return;
+        }
+        // Guards against once-only writes lost to a primary that takes work and answers none.
+        if (!g.searching && quiet(p, now)) {
+            search(g, now, "primary silent " + p.id + " holding " + p.out.size());
+        }
+        if (g.searching) {
+            return;
+        }
+        for (int pass = 0; pass < 2; pass++) {
+            for (Iterator<Txn> i = g.writes.iterator(); i.hasNext();) {
+                Txn t = i.next();
+                if (t.answered) {
+                    i.remove();
+                    continue;
+                }
+                if (p.out.size() >= room(p, now) || now.compareTo(p.shunnedUntil) < 0) {
+                    wake(g, max(p.shunnedUntil, now.plus(Duration.ofMillis(50))));
+                    return;
+                }
+                // First those that can still be in time; those too late for that take what is left.
+                if (pass == 0 && ms(t.aimAt().minus(now)) < calm[t.type.index()]) {
+                    continue;
+                }
+                if (mayGoAgain(t, now)) {
+                    i.remove();
+                    submit(t, p, now);
+                }
+            }
+        }
+    }
+
+    private void placeReads(Group g, Duration now) {
+        if (g.reads.isEmpty()) {
+            return;
+        }
+        int looked = 0;
+        // Newest first: under overload those that waited long are late anyway.
+        for (Iterator<Txn> i = g.reads.descendingIterator(); i.hasNext() && looked < 32;) {
+            Txn t = i.next();
+            if (t.answered) {
+                i.remove();
+                continue;
+            }
+            looked++;
+            if (!mayGoAgain(t, now)) {
+                continue;
+            }
+            Member m = choose(g, t, now);
+            if (m != null) {
+                i.remove();
+                submit(t, m, now);
+            }
+        }
+    }
+
+    /** The member for a read, or null: it waits. */
+    private Member choose(Group g, Txn t, Duration now) {
+        Duration need = needs(t, now);
+        Member best = null;
+        Member leastBehind = null;
+        double bestCost = 0;
+        int replicas = 0;
+        int fresh = 0;
+        boolean current = t.type.freshness() == Freshness.LATEST;
+        for (Member m : g.members) {
+            if (m == g.primary || current || !m.listed || mustStop(m, now, false)) {
+                continue;
+            }
+            replicas++;
+            if (quiet(m, now) || now.compareTo(m.shunnedUntil) < 0) {
+                continue;
+            }
+            boolean ok = need == null || m.position != null && m.position.compareTo(need) >= 0;
+            if (!ok && checked && m.behind != null) {
+                ok = now.minus(m.behind).compareTo(need) >= 0;
+            }
+            boolean room = m.out.size() < room(m, now);
+            if (!ok) {
+                if (room && !missedAt(t, m) && (leastBehind == null
+                    || behind(m).compareTo(behind(leastBehind)) < 0)) {
+                    leastBehind = m;
+                }
+                continue;
+            }
+            fresh++;
+            if (room && !missedAt(t, m)) {
+                double cost = cost(m, now);
+                if (best == null || cost < bestCost) {
+                    best = m;
+                    bestCost = cost;
+                }
+            }
+        }
+        if (fresh < 2 && need != null && !current) {
+            refresh(g, t, now);
+        }
+        if (best != null || fresh > 1 && !checked) {
+            return best;
+        }
+        if (checked && leastBehind != null && fresh == 0 && t.submissions.size() < 2) {
+            return leastBehind;
+        }
+        Member p = g.primary;
+        if (p == null || g.searching || fresh > 0 && best == null && !current && replicas > 0) {
+            return null;
+        }
+        if (quiet(p, now) || mustStop(p, now, true) || now.compareTo(p.shunnedUntil) < 0) {
+            return null;
+        }
+        // Reads that need the primary leave half of its room to the writes.
+        double room = room(p, now);
+        if (current || replicas == 0) {
+            return p.out.size() < room ? p : null;
+        }
+        if (p.out.size() + 1 > room / 2) {
+            return null;
+        }
+        if (t.type.freshness() == Freshness.OWN_WRITES) {
+            return p;
+        }
+        if (!t.spillCounted) {
+            t.spillCounted = true;
+            g.spillCredit = Math.min(2, g.spillCredit + g.spillShare);
+        }
+        if (g.spillCredit >= 1) {
+            g.spillCredit -= 1;
+            return p;
+        }
+        return null;
+    }
+
+    private static Duration behind(Member m) {
+        return m.behind == null ? Duration.ZERO : m.behind;
+    }
+
+    private static boolean missedAt(Txn t, Member m) {
+        for (Submission s : t.submissions) {
+            if (s.member == m) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    /** The position that a read's data must have reached, or null; a step more than the bound asks for. */
+    private Duration needs(Txn t, Duration now) {
+        return switch (t.type.freshness()) {
+            case RECENT -> now.minus(t.type.oldestData()).plus(step);
+            case OWN_WRITES -> t.mustReflect == null ? null : t.mustReflect.plus(step);
+            default -> null;
+        };
+    }
+
+    /** Asks replicas of which too little is known for their position, each not too often for the bound. */
+    private void refresh(Group g, Txn t, Duration now) {
+        Duration bound = t.type.freshness() == Freshness.RECENT ? t.type.oldestData() : t.type.slaTime();
+        int asked = 0;
+        int start = random.nextInt(g.members.size());
+        for (int i = 0; i < g.members.size() && asked < 2; i++) {
+            Member m = g.members.get((start + i) % g.members.size());
+            if (m != g.primary && now.compareTo(m.shunnedUntil) >= 0 && !m.silent
+                && (m.probedAt == null || now.minus(m.probedAt).compareTo(bound.dividedBy(4)) > 0)
+                && (m.positionHeard == null || now.minus(m.positionHeard).compareTo(bound.dividedBy(4)) > 0)
+                && probe(m, now)) {
+                asked++;
+            }
+        }
+        wake(g, now.plus(bound.dividedBy(8)));
+    }
+
+    private double cost(Member m, Duration now) {
+        double slow = Math.min(4, Math.max(0.5, ratio(m, now)));
+        double away = m.zone != (int) number("zone") && number("price.cross-zone") > 0 ? 0.25 : 0;
+        return (m.out.size() + 0.5) / room(m, now) * slow + away + random.nextDouble() * 0.02;
+    }
+
+    private void submit(Txn t, Member m, Duration now) {
+        t.held = false;
+        Submission s = new Submission(t, t.submissions.size(), m, now);
+        (t.submissions.isEmpty() ? firsts : furthers).add(now, 1);
+        t.submissions.add(s);
+        if (m.out.isEmpty()) {
+            m.quietSince = now;
+        }
+        m.out.add(s);
+        ready.add(Decision.submit(t.id, m.id, s.number, null));
+        alarm(min(endAt(t), now.plus(millis(2 * usual(t.type, now)))), t);
+    }
+
+    // ---- a txn's life ----
+
+    private void hold(Txn t, Duration now) {
+        if (!t.answered && !t.held) {
+            t.held = true;
+            (t.type.update() ? t.group.writes : t.group.reads).add(t);
+            touch(t.group);
+            if (!t.submissions.isEmpty()) {
+                alarm(now, t);
+            }
+        }
+    }
+
+    private void check(Txn t, Duration now) {
+        if (t.answered) {
+            return;
+        }
+        boolean spent = t.submissions.size() >= number("most-submissions");
+        if (now.compareTo(endAt(t)) >= 0 || t.held && (spent || now.compareTo(giveUpAt(t)) >= 0
+            || t.mayHaveRun() && !mayRepeat(t, now))) {
+            finish(t, now);
+            return;
+        }
+        if (t.held) {
+            alarm(giveUpAt(t), t);
+            return;
+        }
+        for (Submission s : t.submissions) {
+            if (s.out() && quiet(s.member, now)) {
+                moveOn(t, s, now);
+            }
+        }
+        alarm(min(endAt(t), now.plus(millis(usual(t.type, now)))), t);
+    }
+
+    /** A submission is out at a member that has gone silent. */
+    private void moveOn(Txn t, Submission s, Duration now) {
+        Group g = t.group;
+        if (g.primary == s.member) {
+            search(g, now, "primary silent " + s.member.id + " holding " + s.member.out.size());
+        }
+        boolean inTime = t.aimAt().minus(now).compareTo(millis(calm[t.type.index()])) > 0;
+        if (t.type.repeat() != Repeat.REPEATABLE || s.cancelled || !inTime || t.held
+            || t.submissions.size() >= number("most-submissions") || !budget(now)) {
+            return;
+        }
+        if (flag("second-copies")) {
+            if (t.out() < 2) {
+                t.held = true;
+                g.reads.add(t);
+                touch(g);
+            }
+        } else {
+            cancel(s);
+        }
+    }
+
+    private void cancel(Submission s) {
+        if (!s.cancelled && flag("may-cancel")) {
+            s.cancelled = true;
+            ready.add(Decision.cancel(s.txn.id, s.number));
+        }
+    }
+
+    /** The final answer: a decline where a retry is harmless, else a rollback. */
+    private void finish(Txn t, Duration now) {
+        boolean harmless = t.type.repeat() == Repeat.REPEATABLE || !t.mayHaveRun()
+            || t.type.repeat() == Repeat.REFERENCED && t.type.anyMemberDropsRepeats();
+        if (harmless) {
+            ready.add(Decision.decline(t.id, flag("may-advise-come-back") ? time("longest-come-back") : null));
+        } else {
+            ready.add(Decision.rollBack(t.id));
+        }
+        close(t);
+    }
+
+    private void close(Txn t) {
+        t.answered = true;
+        t.held = false;
+        txns.remove(t.id);
+    }
+
+    /** When a held txn is given up: what it waits for could no longer be of use by then. */
+    private Duration giveUpAt(Txn t) {
+        Duration useful = t.type.lateShare() > 0 ? t.expiresAt : min(t.aimAt(), t.expiresAt);
+        return min(endAt(t), useful.minus(millis(calm[t.type.index()])));
+    }
+
+    private Duration endAt(Txn t) {
+        return t.expiresAt.minus(step);
+    }
+
+    private boolean mayRepeat(Txn t, Duration now) {
+        if (t.type.repeat() == Repeat.REPEATABLE || !t.mayHaveRun()) {
+            return true;
+        }
+        return t.type.repeat() == Repeat.REFERENCED
+            && now.plus(step).compareTo(t.firstMayHaveRunAt().plus(t.type.window())) < 0;
+    }
+
+    private boolean mayGoAgain(Txn t, Duration now) {
+        return t.submissions.isEmpty() || mayRepeat(t, now) && (t.out() == 0 || flag("second-copies"))
+            && t.submissions.size() < number("most-submissions") && budget(now);
+    }
+
+    /** Further submissions follow the share of recent ones that succeeded. */
+    private boolean budget(Duration now) {
+        double share = (committed.read(now) + 1) / (ended.read(now) + 1);
+        return furthers.read(now) < 4 + 0.5 * share * firsts.read(now);
+    }
+
+    // ---- members' health ----
+
+    private void measure(Member m, Txn t, Duration took, Duration now) {
+        int i = t.type.index();
+        tookSum[i].add(now, ms(took));
+        tookCount[i].add(now, 1);
+        double mean = tookSum[i].read(now) / tookCount[i].read(now);
+        calm[i] = tookCount[i].read(now) < 4 ? calm[i] : Math.min(calm[i] * 1.0005, mean);
+        m.answers.add(now, 1);
+        m.slowness.add(now, ms(took) / target(t.type));
+        if (ratio(m, now) > 1) {
+            m.limit = Math.max(1, m.limit - 0.25);
+        } else if (m.out.size() + 1 >= m.limit - 1) {
+            m.limit += 1 / m.limit;
+        }
+        if (m == t.group.primary && !t.type.update()) {
+            t.group.spillShare = ratio(m, now) > 1 ? Math.max(SPILL_SHARE, t.group.spillShare * 0.7)
+                : Math.min(1, t.group.spillShare * 1.1);
+        }
+    }
+
+    /** What an answer may take of a member that is used but not crowded. */
+    private double target(TxnType type) {
+        return Math.sqrt(calm[type.index()] * ms(type.slaTime()));
+    }
+
+    private double ratio(Member m, Duration now) {
+        return (m.slowness.read(now) + 0.5) / (m.answers.read(now) + 1);
+    }
+
+    private double usual(TxnType type, Duration now) {
+        double n = tookCount[type.index()].read(now);
+        return n < 1 ? calm[type.index()] : tookSum[type.index()].read(now) / n;
+    }
+
+    /**
+     * Silent: work out at it has waited, all together, several usual answer times since its last sign. It ends
+     * with the next answer; a member whose work all ran out without one is tried again one at a time.
+     */
+    private boolean quiet(Member m, Duration now) {
+        if (m.silent) {
+            return true;
+        }
+        if (m.out.isEmpty()) {
+            return false;
+        }
+        double waited = 0;
+        for (Submission s : m.out) {
+            waited += ms(now.minus(max(s.sentAt, m.quietSince))) / usual(s.txn.type, now);
+        }
+        if (waited > PATIENCE) {
+            m.silent = true;
+            log.accept("member " + m.id + " silent for " + (long) ms(now.minus(m.quietSince)) + " ms holding "
+                + m.out.size());
+        }
+        return m.silent;
+    }
+
+    private void signOfLife(Member m, Duration now, End end) {
+        m.quietSince = now;
+        if (m.silent) {
+            m.silent = false;
+            log.accept("member " + m.id + " answers again");
+        }
+        if (end == End.FULL) {
+            m.limit = Math.max(1, m.limit / 2);
+            m.shunnedUntil = max(m.shunnedUntil, now.plus(millis(calm[0])));
+        } else {
+            m.failures = 0;
+            if (m.wasLost) {
+                // Guards against pushing over a member that came back before the list said so.
+                m.wasLost = false;
+                m.startedAt = m.startedAt == null ? now : max(m.startedAt, now);
+            }
+        }
+    }
+
+    private void fault(Member m, Duration now, End end) {
+        m.failures++;
+        m.wasLost |= end == End.UNREACHABLE || end == End.RESET;
+        Duration pause = times(max(Duration.ofMillis(250), time("connect-time-out")),
+            Math.pow(2, Math.min(m.failures - 1, 3)));
+        m.shunnedUntil = now.plus(times(pause, 0.75 + 0.5 * random.nextDouble()));
+    }
+
+    /** How many submissions the member may hold of this driver. */
+    private double room(Member m, Duration now) {
+        if (m.failures > 0) {
+            return 1;
+        }
+        double warm = warmth(m, now);
+        return warm >= 1 ? Math.max(1, m.limit) : Math.max(1, Math.min(m.limit, warm * FIRST_LIMIT));
+    }
+
+    private double warmth(Member m, Duration now) {
+        if (m.startedAt == null || cold.isZero()) {
+            return 1;
+        }
+        double age = ms(now.minus(m.startedAt)) / ms(cold);
+        return age >= 1 ? 1 : number("cold-share") + (1 - number("cold-share")) * Math.max(0, age);
+    }
+
+    /** Nothing new goes there; a primary is used on for most of the grace, until it has handed over. */
+    private boolean mustStop(Member m, Duration now, boolean asPrimary) {
+        if (m.stopTold == null || m.gone && !m.seenDraining && flag("removal-not-binding")) {
+            return false;
+        }
+        Duration grace = asPrimary && !m.gone ? time("drain-grace").minus(step.multipliedBy(2)) : Duration.ZERO;
+        return now.compareTo(m.stopTold.plus(grace)) >= 0;
+    }
+
+    private void heardPosition(Member m, Duration position, Duration now) {
+        if (position == null) {
+            return;
+        }
+        if (m.position == null || position.compareTo(m.position) > 0) {
+            m.position = position;
+        }
+        m.behind = now.minus(m.position);
+        m.positionHeard = now;
+    }
+
+    // ---- the member list ----
+
+    /** Where the list must be asked for: follow it, again after failures, and when it was quiet for long. */
+    private void followList(Duration now) {
+        Duration due = listHeard.plus(time("ask-within").dividedBy(2));
+        if (!listFollowed || listFailures > 0 || now.compareTo(due) >= 0) {
+            listFollowed = true;
+            ready.add(Decision.followList());
+        }
+        alarm(max(due, now.plus(time("ask-within").dividedBy(4))), listNamed);
+    }
+
+    // ---- small things ----
+
+    private void touch(Group g) {
+        if (!g.dirty) {
+            g.dirty = true;
+            dirty.add(g);
+        }
+    }
+
+    private void wake(Group g, Duration at) {
+        if (g.wakeAsked == null || at.compareTo(g.wakeAsked) < 0) {
+            g.wakeAsked = at;
+            alarm(at, g);
+        }
+    }
+
+    private void alarm(Duration at, Object what) {
+        alarms.add(new Alarm(at, alarmNumber++, what));
+    }
+
+    private double number(String name) {
+        return terms.get(name) instanceof Double d ? d : 0;
+    }
+
+    private Duration time(String name) {
+        return terms.get(name) instanceof Duration d ? d : Duration.ZERO;
+    }
+
+    private boolean flag(String name) {
+        return Boolean.TRUE.equals(terms.get(name));
+    }
+
+    private static double ms(Duration d) {
+        return d.toNanos() / 1e6;
+    }
+
+    private static Duration millis(double ms) {
+        return Duration.ofNanos((long) (ms * 1e6));
+    }
+
+    private static Duration times(Duration d, double by) {
+        return Duration.ofNanos((long) (d.toNanos() * by));
+    }
+
+    private static Duration max(Duration a, Duration b) {
+        return a.compareTo(b) >= 0 ? a : b;
+    }
+
+    private static Duration min(Duration a, Duration b) {
+        return a.compareTo(b) <= 0 ? a : b;
+    }
+}
--- /dev/null
+++ b/src/main/java/wingroad/simhost/Instance.java
@@ -0,0 +1,247 @@
+package wingroad.simhost;
+
+import com.fasterxml.jackson.core.JsonGenerator;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.time.Duration;
+import java.util.List;
+import java.util.Map;
+import wingroad.routing.Decision;
+import wingroad.routing.Router;
+import wingroad.routing.TxnRouter;
+import wingroad.state.Member;
+import wingroad.state.Submission;
+
+/** One driver on the wire: its module, its clock's start, and the one wake-up that it keeps armed. */
+final class Instance {
+    private final double startWall;
+    private final double zero;
+    private final List<?> reportNames;
+    private final Router router;
+    /** Where log lines go: the reply being written. */
+    private JsonGenerator log;
+    private Duration armed;
+    private long armedNumber;
+
+    Instance(double wall, long seed, Map<String, Object> profile, JsonGenerator steps) {
+        this.startWall = wall;
+        Object family = profile.get("family-info");
+        this.zero = family instanceof Map<?, ?> m && m.get("zero") instanceof Number n ? n.doubleValue() : 0;
+        Object report = profile.get("report");
+        this.reportNames = report instanceof Map<?, ?> m && m.get("names") instanceof List<?> l ? l : List.of();
+        this.log = steps;
+        this.router = new TxnRouter(Terms.of(profile), seed, this::writeLog);
+    }
+
+    private Duration sinceStart(double wall) {
+        return Wire.span(wall - startWall);
+    }
+
+    private double wall(Duration at) {
+        return Wire.ms(at.plusNanos(Math.round(startWall * 1000) * 1000));
+    }
+
+    void take(double wall, String name, Map<String, Object> event, Map<Long, List<?>> lists, JsonGenerator steps)
+            throws IOException {
+        log = steps;
+        Duration now = sinceStart(wall);
+        try {
+            switch (name) {
+                case "view" -> view(now, event, lists);
+                case "new-request" -> router.txnArrived(now, Wire.text(event, "op-id"),
+                    Wire.number(event, "band", 0).intValue(), Wire.number(event, "shard", 0).intValue(),
+                    Wire.span(Wire.number(event, "ttl")), Wire.number(event, "user", -1).longValue(),
+                    sinceWrite(event), (Wire.number(event, "marks", 0).intValue() & 2) != 0);
+                case "result" -> result(now, event);
+                case "status-back" -> {
+                    long member = Wire.number(event, "member").longValue();
+                    report(now, member, event);
+                    router.probeEnded(now, member, "ok".equals(event.get("state-code")), took(event));
+                }
+                case "lapsed" -> router.txnLapsed(now, Wire.text(event, "op-id"));
+                case "fired" -> {
+                    if (Long.toString(armedNumber).equals(event.get("token"))) {
+                        armed = null;
+                    }
+                }
+                default -> {
+                    // an event of a later wire: not ours
+                }
+            }
+        } catch (Wire.Malformed bad) {
+            throw bad;
+        } catch (RuntimeException bug) {
+            crash(steps, bug);
+        }
+    }
+
+    private static Duration sinceWrite(Map<String, Object> event) {
+        double ms = Wire.number(event, "token-age-ms", 0).doubleValue();
+        return ms > 0 ? Wire.span(ms) : null;
+    }
+
+    private static Duration took(Map<String, Object> event) {
+        return Wire.span(Wire.number(event, "duration", 0));
+    }
+
+    private void view(Duration now, Map<String, Object> event, Map<Long, List<?>> lists) {
+        String kind = Wire.text(event, "kind");
+        if (kind.equals("broken")) {
+            router.listFailed(now);
+            return;
+        }
+        List<?> entries = lists.get(Wire.number(event, "buffer").longValue());
+        if (entries == null) {
+            throw new Wire.Malformed("no list of that number");
+        }
+        router.listStarts(now, !kind.equals("patch"));
+        for (Object e : entries) {
+            Map<String, Object> entry = Wire.object(e, "a list entry");
+            double launched = Wire.number(entry, "launched", 0).doubleValue();
+            String readiness = entry.get("readiness") instanceof String s ? s : "in_service";
+            router.listed(now, Wire.number(entry, "member").longValue(), Wire.number(entry, "group", 0).intValue(),
+                Wire.number(entry, "site", 0).intValue(), Wire.number(entry, "class-of-host", 0).intValue(),
+                Wire.number(entry, "heft", 1).doubleValue(), Wire.number(entry, "head", 0).doubleValue() == 1,
+                readiness.equals("terminating"), readiness.equals("terminated"),
+                launched > 0 ? sinceStart(launched) : null);
+        }
+        router.listEnds(now);
+    }
+
+    private void result(Duration now, Map<String, Object> event) {
+        long member = Wire.number(event, "member").longValue();
+        report(now, member, event);
+        Submission.End end = switch (Wire.text(event, "state-code")) {
+            case "ok" -> Submission.End.COMMITTED;
+            case "full" -> Submission.End.FULL;
+            case "timeout" -> Submission.End.TIMED_OUT;
+            case "connect_failed" -> Submission.End.UNREACHABLE;
+            case "reset" -> Submission.End.RESET;
+            case "cancelled" -> Submission.End.CANCELLED;
+            case "moot" -> Submission.End.MOOT;
+            case "miss" -> Submission.End.MISSED;
+            default -> Submission.End.ERROR;
+        };
+        long stand = Wire.number(event, "stand", 0).longValue();
+        Duration position = stand >> 2 == 0 ? null : sinceStart(zero + (stand >> 2));
+        router.submissionEnded(now, Wire.text(event, "op-id"), Wire.number(event, "round-no", 0).intValue(), member,
+            end, took(event), Boolean.TRUE.equals(event.get("terminal")), role((int) (stand & 3)), position);
+    }
+
+    private static Member.Role role(int number) {
+        return number == 1 ? Member.Role.PRIMARY : number == 2 ? Member.Role.REPLICA : Member.Role.UNKNOWN;
+    }
+
+    private void report(Duration now, long member, Map<String, Object> event) {
+        if (!(event.get("metrics") instanceof List<?> figures) || figures.isEmpty()) {
+            return;
+        }
+        Member.Role role = Member.Role.UNKNOWN;
+        Duration position = null;
+        double held = Double.NaN;
+        double waiting = Double.NaN;
+        double busy = Double.NaN;
+        for (int i = 0; i < figures.size() && i < reportNames.size(); i++) {
+            if (!(figures.get(i) instanceof Number n)) {
+                continue;
+            }
+            double v = n.doubleValue();
+            switch (String.valueOf(reportNames.get(i))) {
+                case "x0" -> position = sinceStart(zero + v * 1000);
+                case "x1" -> role = v == 1 ? Member.Role.PRIMARY : Member.Role.REPLICA;
+                case "rif" -> held = v;
+                case "q" -> waiting = v;
+                case "busy" -> busy = v;
+                default -> {
+                    // a figure that the module has no use for
+                }
+            }
+        }
+        router.reported(now, member, role, position, held, waiting, busy);
+    }
+
+    /** Pulls the decisions until there is none and keeps the next wake-up armed. */
+    void decide(double wall, JsonGenerator steps) throws IOException {
+        log = steps;
+        Duration now = sinceStart(wall);
+        try {
+            for (Decision d = router.next(now); d != null; d = router.next(now)) {
+                write(steps, d);
+            }
+            Duration wake = router.wakeAt();
+            if (wake != null && (armed == null || wake.compareTo(armed) < 0)) {
+                armed = wake;
+                armedNumber++;
+                Duration wait = wake.minus(now);
+                steps.writeStartObject();
+                steps.writeStringField("msg", "arm");
+                steps.writeNumberField("wait", wait.isNegative() ? 0.0 : Wire.ms(wait));
+                steps.writeStringField("token", Long.toString(armedNumber));
+                steps.writeEndObject();
+            }
+        } catch (RuntimeException bug) {
+            crash(steps, bug);
+        }
+    }
+
+    private void write(JsonGenerator steps, Decision d) throws IOException {
+        steps.writeStartObject();
+        switch (d.kind()) {
+            case SUBMIT -> {
+                steps.writeStringField("msg", "submit-to");
+                steps.writeStringField("op-id", d.txn());
+                steps.writeNumberField("member", d.member());
+                if (d.when() != null) {
+                    steps.writeNumberField("until", wall(d.when()));
+                }
+            }
+            case DECLINE -> {
+                steps.writeStringField("msg", "refuse");
+                steps.writeStringField("op-id", d.txn());
+                if (d.when() != null) {
+                    steps.writeNumberField("come-back", Wire.ms(d.when()));
+                }
+            }
+            case ROLL_BACK -> {
+                steps.writeStringField("msg", "fail");
+                steps.writeStringField("op-id", d.txn());
+            }
+            case CANCEL -> {
+                steps.writeStringField("msg", "cancel");
+                steps.writeStringField("op-id", d.txn());
+                steps.writeNumberField("round-no", d.submission());
+            }
+            case PROBE -> {
+                steps.writeStringField("msg", "sample");
+                steps.writeNumberField("member", d.member());
+            }
+            case FOLLOW_LIST -> {
+                steps.writeStringField("msg", "tail");
+                steps.writeBooleanField("enable", true);
+            }
+            case FETCH_LIST -> steps.writeStringField("msg", "query-all");
+            default -> throw new IllegalStateException("no words for " + d.kind());
+        }
+        steps.writeEndObject();
+    }
+
+    private void writeLog(String line) {
+        try {
+            log.writeStartObject();
+            log.writeStringField("msg", "write-log");
+            log.writeStringField("reason-text", line);
+            log.writeEndObject();
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
+    static void crash(JsonGenerator steps, RuntimeException bug) throws IOException {
+        StackTraceElement[] at = bug.getStackTrace();
+        steps.writeStartObject();
+        steps.writeStringField("msg", "crash");
+        steps.writeStringField("reason-text", bug.getClass().getSimpleName() + ": " + bug.getMessage()
+            + (at.length > 0 ? " at " + at[0].getFileName() + ":" + at[0].getLineNumber() : ""));
+        steps.writeEndObject();
+    }
+}
--- /dev/null
+++ b/src/main/java/wingroad/state/Member.java
@@ -0,0 +1,56 @@
+package wingroad.state;
+
+import java.time.Duration;
+import java.util.LinkedHashSet;
+
+/** What one driver knows of one member of a group. */
+public final class Member {
+    /** What a member said of its role. */
+    public enum Role { UNKNOWN, PRIMARY, REPLICA }
+
+    public final long id;
+    public Group group;
+    public int zone;
+    public int kind;
+    public double weight = 1;
+    public boolean listed;
+    /** When this driver learned that it drains or is gone, or null. */
+    public Duration stopTold;
+    public boolean gone;
+    public boolean seenDraining;
+    /** When it last started, or null for long ago or unknown. */
+    public Duration startedAt;
+
+    public Role role = Role.UNKNOWN;
+    /** The time for which the role was proven. */
+    public Duration roleAt;
+    /** An answer (not a report) has said that it is no primary, and none since that it is. */
+    public boolean toldReplica;
+    /** Proven lower bound of its log position, or null. */
+    public Duration position;
+    /** How far behind it was when that position was heard, and when. */
+    public Duration behind;
+    public Duration positionHeard;
+
+    public final LinkedHashSet<Submission> out = new LinkedHashSet<>();
+    /** The last sign of life on the txn path, or when it got its first outstanding work. */
+    public Duration quietSince = Duration.ZERO;
+    /** Mode: silent on work that it holds. */
+    public boolean silent;
+    public double limit;
+    /** Decaying answers and their summed slowness (took as a ratio of the target). */
+    public final DecayingSum answers;
+    public final DecayingSum slowness;
+    public int failures;
+    public Duration shunnedUntil = Duration.ZERO;
+    public boolean wasLost;
+
+    public boolean probeOut;
+    public Duration probedAt;
+
+    public Member(long id, Duration memory) {
+        this.id = id;
+        this.answers = new DecayingSum(memory);
+        this.slowness = new DecayingSum(memory);
+    }
+}
--- /dev/null
+++ b/src/main/java/wingroad/state/Txn.java
@@ -0,0 +1,69 @@
+package wingroad.state;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+
+/** One client request that a driver has accepted, from its arrival to its final answer. */
+public final class Txn {
+    public final String id;
+    public final TxnType type;
+    public final Group group;
+    public final Duration arrivedAt;
+    public final Duration expiresAt;
+    public final boolean retry;
+    /** The session, or -1. */
+    public final long session;
+    /** The position that the session has written up to, or null. */
+    public Duration mustReflect;
+    public final List<Submission> submissions = new ArrayList<>(2);
+    public boolean answered;
+    /** True while it waits at the router for a member. */
+    public boolean held;
+    /** It has added its part to what reads without a fresh replica may send to the primary. */
+    public boolean spillCounted;
+
+    public Txn(String id, TxnType type, Group group, Duration arrivedAt, Duration expiresAt,
+               long session, boolean retry) {
+        this.id = id;
+        this.type = type;
+        this.group = group;
+        this.arrivedAt = arrivedAt;
+        this.expiresAt = expiresAt;
+        this.session = session;
+        this.retry = retry;
+    }
+
+    public int out() {
+        int n = 0;
+        for (Submission s : submissions) {
+            if (s.out()) {
+                n++;
+            }
+        }
+        return n;
+    }
+
+    public boolean mayHaveRun() {
+        for (Submission s : submissions) {
+            if (s.mayHaveRun()) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    /** When the earliest submission that may have run was sent, or null. */
+    public Duration firstMayHaveRunAt() {
+        for (Submission s : submissions) {
+            if (s.mayHaveRun()) {
+                return s.sentAt;
+            }
+        }
+        return null;
+    }
+
+    public Duration aimAt() {
+        return arrivedAt.plus(type.slaTime());
+    }
+}
--- /dev/null
+++ b/src/main/java/wingroad/state/TxnType.java
@@ -0,0 +1,19 @@
+package wingroad.state;
+
+import java.time.Duration;
+
+/** One kind of txn as the deployment describes it. */
+public record TxnType(int index, Duration slaTime, Duration expiry, double value, double lateShare,
+                      Repeat repeat, Freshness freshness, Duration oldestData, Duration window,
+                      boolean anyMemberDropsRepeats) {
+
+    /** What running a txn twice would do. */
+    public enum Repeat { REPEATABLE, REFERENCED, ONCE_ONLY }
+
+    /** What the data that a txn works on must reflect. */
+    public enum Freshness { UPDATE, LATEST, OWN_WRITES, RECENT, LOOSE }
+
+    public boolean update() {
+        return freshness == Freshness.UPDATE;
+    }
+}
