Cold send budget against warm peers; silence needs a usual answer time; no sure misses

Silence was called after 50 ms with nine out. Should also hold where refusals are quick; may hurt where warm peers carry little and a cold one is needed.

--- a/src/main/java/wingroad/routing/TxnRouter.java
+++ b/src/main/java/wingroad/routing/TxnRouter.java
@@ -127,7 +127,7 @@
     @Override
     public void listed(Duration now, long id, int group, int zone, int kind, double weight, boolean primary,
                        boolean draining, boolean gone, Duration startedAt) {
-        Member m = members.computeIfAbsent(id, i -> new Member(i, memory));
+        Member m = members.computeIfAbsent(id, i -> new Member(i, memory, time("fall")));
         if (m.group == null) {
             m.group = groups.computeIfAbsent(group, Group::new);
             m.group.spillShare = SPILL_SHARE;
@@ -230,7 +230,8 @@
         }
         if (end == End.COMMITTED || end == End.MISSED || end == End.ERROR || end == End.FULL) {
             signOfLife(m, now, end);
-        } else if (end != End.CANCELLED && end != End.MOOT) {
+        } else if (end != End.CANCELLED && end != End.MOOT
+            && !(end == End.TIMED_OUT && m.quietSince.compareTo(s.sentAt) > 0)) {
             fault(m, now, end);
         }
         if (m.silent && m.out.isEmpty()) {
@@ -527,7 +528,7 @@
             }
             boolean room = m.out.size() < room(m, now);
             if (!ok) {
-                if (room && !missedAt(t, m) && (leastBehind == null
+                if (room && !missedAt(t, m) && !sureMiss(m, need, now) && (leastBehind == null
                     || behind(m).compareTo(behind(leastBehind)) < 0)) {
                     leastBehind = m;
                 }
@@ -580,6 +581,12 @@
         return null;
     }
 
+    /** It was heard lately to be further behind than it would wait for. */
+    private boolean sureMiss(Member m, Duration need, Duration now) {
+        return m.behind != null && m.positionHeard.plus(memory.dividedBy(2)).compareTo(now) > 0
+            && now.minus(m.behind).plus(time("members-hold-for")).compareTo(need) < 0;
+    }
+
     private static Duration behind(Member m) {
         return m.behind == null ? Duration.ZERO : m.behind;
     }
@@ -634,6 +641,7 @@
             m.quietSince = now;
         }
         m.out.add(s);
+        m.sent.add(now, calm[t.type.index()]);
         ready.add(Decision.submit(t.id, m.id, s.number, null));
         alarm(min(endAt(t), now.plus(millis(2 * usual(t.type, now)))), t);
     }
@@ -765,8 +773,8 @@
             m.limit += 1 / m.limit;
         }
         if (m == t.group.primary && !t.type.update()) {
-            t.group.spillShare = ratio(m, now) > 1 ? Math.max(SPILL_SHARE, t.group.spillShare * 0.7)
-                : Math.min(1, t.group.spillShare * 1.1);
+            t.group.spillShare = ratio(m, now) > 1 ? Math.max(SPILL_SHARE, t.group.spillShare * 0.8)
+                : Math.min(1, t.group.spillShare + SPILL_SHARE / 2);
         }
     }
 
@@ -799,7 +807,9 @@
         for (Submission s : m.out) {
             waited += ms(now.minus(max(s.sentAt, m.quietSince))) / usual(s.txn.type, now);
         }
-        if (waited > PATIENCE) {
+        // The last sign must be a usual answer time away as well: many out at once are no reason to doubt sooner.
+        Txn any = m.out.iterator().next().txn;
+        if (waited > PATIENCE && ms(now.minus(m.quietSince)) > usual(any.type, now)) {
             m.silent = true;
             log.accept("member " + m.id + " silent for " + (long) ms(now.minus(m.quietSince)) + " ms holding "
                 + m.out.size());
@@ -828,7 +838,7 @@
 
     private void fault(Member m, Duration now, End end) {
         m.failures++;
-        m.wasLost |= end == End.UNREACHABLE || end == End.RESET;
+        m.wasLost = true;
         Duration pause = times(max(Duration.ofMillis(250), time("connect-time-out")),
             Math.pow(2, Math.min(m.failures - 1, 3)));
         m.shunnedUntil = now.plus(times(pause, 0.75 + 0.5 * random.nextDouble()));
@@ -840,7 +850,28 @@
             return 1;
         }
         double warm = warmth(m, now);
-        return warm >= 1 ? Math.max(1, m.limit) : Math.max(1, Math.min(m.limit, warm * FIRST_LIMIT));
+        if (warm >= 1) {
+            return Math.max(1, m.limit);
+        }
+        return coldBudget(m, warm, now) ? Math.max(1, Math.min(m.limit, warm * FIRST_LIMIT)) : 0;
+    }
+
+    /**
+     * Guards against pushing a cold member over, by quick misses and refusals too: what this driver sends it
+     * stays, over the rule's window, at half the rule's multiple of the cold part of what its warm peers get.
+     */
+    private boolean coldBudget(Member m, double warm, Duration now) {
+        double peers = 0;
+        int n = 0;
+        for (Member o : members.values()) {
+            if (o != m && o.listed && o.kind == m.kind && o.failures == 0 && warmth(o, now) >= 1) {
+                peers += o.sent.read(now);
+                n++;
+            }
+        }
+        double least = 2 * calm[0];
+        double most = n == 0 ? 0 : warm * number("fall-multiple") / 2 * peers / n;
+        return m.sent.read(now) < Math.max(least, most);
     }
 
     private double warmth(Member m, Duration now) {
--- a/src/main/java/wingroad/state/Member.java
+++ b/src/main/java/wingroad/state/Member.java
@@ -41,6 +41,8 @@
     /** Decaying answers and their summed slowness (took as a ratio of the target). */
     public final DecayingSum answers;
     public final DecayingSum slowness;
+    /** Work submitted to it, in usual answer times, over about the fail-back rule's window. */
+    public final DecayingSum sent;
     public int failures;
     public Duration shunnedUntil = Duration.ZERO;
     public boolean wasLost;
@@ -48,7 +50,8 @@
     public boolean probeOut;
     public Duration probedAt;
 
-    public Member(long id, Duration memory) {
+    public Member(long id, Duration memory, Duration window) {
+        this.sent = new DecayingSum(window);
         this.id = id;
         this.answers = new DecayingSum(memory);
         this.slowness = new DecayingSum(memory);
