Tighter answer target; reads given up sooner; clients' later tries placed last

Other causes excluded: no list change, no member silent for long, spread even. Should also hold against any overload; may hurt where a retry is all that a client has (it waits longer).

--- a/src/main/java/wingroad/routing/TxnRouter.java
+++ b/src/main/java/wingroad/routing/TxnRouter.java
@@ -6,6 +6,7 @@
 import java.time.Duration;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.HashMap;
 import java.util.Iterator;
 import java.util.LinkedHashMap;
@@ -53,6 +54,7 @@
     private final DecayingSum furthers;
     private final DecayingSum ended;
     private final DecayingSum committed;
+    private final Duration[] longestTry;
     private final Duration memory;
     private final Duration step;
     private final Duration cold;
@@ -87,6 +89,8 @@
         this.tookSum = new DecayingSum[types.length];
         this.tookCount = new DecayingSum[types.length];
         this.calm = new double[types.length];
+        this.longestTry = new Duration[types.length];
+        Arrays.fill(longestTry, Duration.ZERO);
         Duration longest = Duration.ofSeconds(1);
         for (int i = 0; i < types.length; i++) {
             String t = "txn-type." + i + ".";
@@ -194,13 +198,19 @@
                            Duration sinceWrite, boolean retry) {
         Group g = groups.computeIfAbsent(group, Group::new);
         Txn t = new Txn(id, types[type], g, now, now.plus(left), session, retry);
+        // The SLA time runs from the client's first try. A try with less time than others of its type get is a
+        // later one: what its client has left of the expiry tells how long ago the first was.
+        longestTry[type] = max(longestTry[type], left);
+        if (left.plus(step).compareTo(longestTry[type]) < 0) {
+            t.aimAt = t.aimAt.minus(max(Duration.ZERO, t.type.expiry().minus(left)));
+        }
         if (t.type.freshness() == Freshness.OWN_WRITES) {
             t.mustReflect = "client".equals(terms.get("session-marks"))
                 ? sinceWrite == null ? null : now.minus(sinceWrite) : sessionWrites.get(session);
         }
         txns.put(id, t);
         hold(t, now);
-        alarm(giveUpAt(t), t);
+        alarm(giveUpAt(t, now), t);
     }
 
     @Override
@@ -470,7 +480,7 @@
                     return;
                 }
                 // First those that can still be in time; those too late for that take what is left.
-                if (pass == 0 && ms(t.aimAt().minus(now)) < calm[t.type.index()]) {
+                if (pass == 0 && late(t, now)) {
                     continue;
                 }
                 if (mayGoAgain(t, now)) {
@@ -485,26 +495,35 @@
         if (g.reads.isEmpty()) {
             return;
         }
-        int looked = 0;
-        // Newest first: under overload those that waited long are late anyway.
-        for (Iterator<Txn> i = g.reads.descendingIterator(); i.hasNext() && looked < 32;) {
-            Txn t = i.next();
-            if (t.answered) {
-                i.remove();
-                continue;
-            }
-            looked++;
-            if (!mayGoAgain(t, now)) {
-                continue;
-            }
-            Member m = choose(g, t, now);
-            if (m != null) {
-                i.remove();
-                submit(t, m, now);
+        // Newest first: under overload those that waited long are late anyway. Tries that come again, or too
+        // late to be worth anything, get what the others leave.
+        for (int pass = 0; pass < 2; pass++) {
+            int looked = 0;
+            for (Iterator<Txn> i = g.reads.descendingIterator(); i.hasNext() && looked < 32;) {
+                Txn t = i.next();
+                if (t.answered) {
+                    i.remove();
+                    continue;
+                }
+                boolean last = t.retry || late(t, now);
+                if (last != (pass == 1) || !mayGoAgain(t, now)) {
+                    continue;
+                }
+                looked++;
+                Member m = choose(g, t, now);
+                if (m != null) {
+                    i.remove();
+                    submit(t, m, now);
+                }
             }
         }
     }
 
+    /** What it asks for can hardly be had in time any more. */
+    private boolean late(Txn t, Duration now) {
+        return ms(t.aimAt.minus(now)) < calm[t.type.index()];
+    }
+
     /** The member for a read, or null: it waits. */
     private Member choose(Group g, Txn t, Duration now) {
         Duration need = needs(t, now);
@@ -664,13 +683,13 @@
             return;
         }
         boolean spent = t.submissions.size() >= number("most-submissions");
-        if (now.compareTo(endAt(t)) >= 0 || t.held && (spent || now.compareTo(giveUpAt(t)) >= 0
+        if (now.compareTo(endAt(t)) >= 0 || t.held && (spent || now.compareTo(giveUpAt(t, now)) >= 0
             || t.mayHaveRun() && !mayRepeat(t, now))) {
             finish(t, now);
             return;
         }
         if (t.held) {
-            alarm(giveUpAt(t), t);
+            alarm(giveUpAt(t, now), t);
             return;
         }
         for (Submission s : t.submissions) {
@@ -687,7 +706,7 @@
         if (g.primary == s.member) {
             search(g, now, "primary silent " + s.member.id + " holding " + s.member.out.size());
         }
-        boolean inTime = t.aimAt().minus(now).compareTo(millis(calm[t.type.index()])) > 0;
+        boolean inTime = t.aimAt.minus(now).compareTo(millis(calm[t.type.index()])) > 0;
         if (t.type.repeat() != Repeat.REPEATABLE || s.cancelled || !inTime || t.held
             || t.submissions.size() >= number("most-submissions") || !budget(now)) {
             return;
@@ -729,9 +748,10 @@
     }
 
     /** When a held txn is given up: what it waits for could no longer be of use by then. */
-    private Duration giveUpAt(Txn t) {
-        Duration useful = t.type.lateShare() > 0 ? t.expiresAt : min(t.aimAt(), t.expiresAt);
-        return min(endAt(t), useful.minus(millis(calm[t.type.index()])));
+    private Duration giveUpAt(Txn t, Duration now) {
+        Duration useful = t.type.lateShare() > 0 ? t.expiresAt : min(t.aimAt, t.expiresAt);
+        double answer = Math.max(calm[t.type.index()], usual(t.type, now));
+        return min(endAt(t), max(t.arrivedAt.plus(step), useful.minus(millis(answer))));
     }
 
     private Duration endAt(Txn t) {
@@ -764,7 +784,7 @@
         tookSum[i].add(now, ms(took));
         tookCount[i].add(now, 1);
         double mean = tookSum[i].read(now) / tookCount[i].read(now);
-        calm[i] = tookCount[i].read(now) < 4 ? calm[i] : Math.min(calm[i] * 1.0005, mean);
+        calm[i] = tookCount[i].read(now) < 4 ? calm[i] : Math.min(calm[i] * 1.0001, mean);
         m.answers.add(now, 1);
         m.slowness.add(now, ms(took) / target(t.type));
         if (ratio(m, now) > 1) {
@@ -780,7 +800,7 @@
 
     /** What an answer may take of a member that is used but not crowded. */
     private double target(TxnType type) {
-        return Math.sqrt(calm[type.index()] * ms(type.slaTime()));
+        return Math.cbrt(calm[type.index()] * calm[type.index()] * ms(type.slaTime()));
     }
 
     private double ratio(Member m, Duration now) {
--- a/src/main/java/wingroad/state/Txn.java
+++ b/src/main/java/wingroad/state/Txn.java
@@ -11,6 +11,9 @@
     public final Group group;
     public final Duration arrivedAt;
     public final Duration expiresAt;
+    /** Until when an answer has its full value, as far as is known. */
+    public Duration aimAt;
+    /** The client says that it has asked before. */
     public final boolean retry;
     /** The session, or -1. */
     public final long session;
@@ -29,6 +32,7 @@
         this.type = type;
         this.group = group;
         this.arrivedAt = arrivedAt;
+        this.aimAt = arrivedAt.plus(type.slaTime());
         this.expiresAt = expiresAt;
         this.session = session;
         this.retry = retry;
@@ -62,8 +66,4 @@
         }
         return null;
     }
-
-    public Duration aimAt() {
-        return arrivedAt.plus(type.slaTime());
-    }
 }
