--- a/src/main/java/wingroad/routing/TxnRouter.java
+++ b/src/main/java/wingroad/routing/TxnRouter.java
@@ -144,6 +144,7 @@
         m.seenDraining |= draining;
         if (startedAt != null && (m.startedAt == null || startedAt.compareTo(m.startedAt) > 0)) {
             m.startedAt = startedAt;
+            m.limit = Math.max(1, FIRST_LIMIT * warmth(m, now));
             if (m.listed) {
                 m.toldReplica = false;
             }
@@ -873,12 +874,12 @@
         if (warm >= 1) {
             return Math.max(1, m.limit);
         }
-        return coldBudget(m, warm, now) ? Math.max(1, Math.min(m.limit, warm * FIRST_LIMIT)) : 0;
+        return coldBudget(m, warm, now) ? Math.max(1, m.limit) : 0;
     }
 
     /**
      * Guards against pushing a cold member over, by quick misses and refusals too: what this driver sends it
-     * stays, over the rule's window, at half the rule's multiple of the cold part of what its warm peers get.
+     * stays, over the rule's window, under the rule's multiple of the cold part of what its warm peers get.
      */
     private boolean coldBudget(Member m, double warm, Duration now) {
         double peers = 0;
@@ -890,7 +891,7 @@
             }
         }
         double least = 2 * calm[0];
-        double most = n == 0 ? 0 : warm * number("fall-multiple") / 2 * peers / n;
+        double most = n == 0 ? 0 : warm * number("fall-multiple") * 0.75 * peers / n;
         return m.sent.read(now) < Math.max(least, most);
     }
 
