Calm time by kind of member, spill to the primary when replicas are full, a time-out is no restart

Should also hold for any mix of member sizes; the spill may hurt writes where their rate jumps at once.

--- a/src/main/java/wingroad/routing/TxnRouter.java
+++ b/src/main/java/wingroad/routing/TxnRouter.java
@@ -21,6 +21,7 @@
 import wingroad.state.Member.Role;
 import wingroad.state.Submission;
 import wingroad.state.Submission.End;
+import wingroad.state.Took;
 import wingroad.state.Txn;
 import wingroad.state.TxnType;
 import wingroad.state.TxnType.Freshness;
@@ -46,10 +47,9 @@
     private final Random random;
     private final Consumer<String> log;
     private final TxnType[] types;
-    private final DecayingSum[] tookSum;
-    private final DecayingSum[] tookCount;
-    /** What each txn type takes of a member that is not crowded: a low mean that rises only slowly. */
-    private final double[] calm;
+    /** How long each txn type takes, over all members and by their kind. */
+    private final Took[] took;
+    private final Map<Integer, Took[]> tookByKind = new HashMap<>();
     private final DecayingSum firsts;
     private final DecayingSum furthers;
     private final DecayingSum ended;
@@ -86,9 +86,6 @@
         this.checked = !terms.getOrDefault("members-check", "silent").equals("silent");
         this.ask = "ask".equals(terms.get("member-list"));
         this.types = new TxnType[(int) number("txn-types")];
-        this.tookSum = new DecayingSum[types.length];
-        this.tookCount = new DecayingSum[types.length];
-        this.calm = new double[types.length];
         this.longestTry = new Duration[types.length];
         Arrays.fill(longestTry, Duration.ZERO);
         Duration longest = Duration.ofSeconds(1);
@@ -107,13 +104,9 @@
                     default -> Freshness.LOOSE;
                 }, time(t + "oldest-data"), time(t + "window"), "all".equals(terms.get(t + "repeats-dropped-by")));
             longest = max(longest, types[i].slaTime());
-            calm[i] = ms(types[i].slaTime()) / 4;
         }
         this.memory = longest;
-        for (int i = 0; i < types.length; i++) {
-            tookSum[i] = new DecayingSum(longest.multipliedBy(4));
-            tookCount[i] = new DecayingSum(longest.multipliedBy(4));
-        }
+        this.took = newTook();
         this.firsts = new DecayingSum(longest.multipliedBy(4));
         this.furthers = new DecayingSum(longest.multipliedBy(4));
         this.ended = new DecayingSum(longest.multipliedBy(4));
@@ -522,7 +515,7 @@
 
     /** What it asks for can hardly be had in time any more. */
     private boolean late(Txn t, Duration now) {
-        return ms(t.aimAt.minus(now)) < calm[t.type.index()];
+        return ms(t.aimAt.minus(now)) < calm(t.type);
     }
 
     /** The member for a read, or null: it waits. */
@@ -566,14 +559,14 @@
         if (fresh < 2 && need != null && !current) {
             refresh(g, t, now);
         }
-        if (best != null || fresh > 1 && !checked) {
+        if (best != null) {
             return best;
         }
         if (checked && leastBehind != null && fresh == 0 && t.submissions.size() < 2) {
             return leastBehind;
         }
         Member p = g.primary;
-        if (p == null || g.searching || fresh > 0 && best == null && !current && replicas > 0) {
+        if (p == null || g.searching) {
             return null;
         }
         if (quiet(p, now) || mustStop(p, now, true) || now.compareTo(p.shunnedUntil) < 0) {
@@ -661,7 +654,7 @@
             m.quietSince = now;
         }
         m.out.add(s);
-        m.sent.add(now, calm[t.type.index()]);
+        m.sent.add(now, calm(t.type));
         ready.add(Decision.submit(t.id, m.id, s.number, null));
         alarm(min(endAt(t), now.plus(millis(2 * usual(t.type, now)))), t);
     }
@@ -707,7 +700,7 @@
         if (g.primary == s.member) {
             search(g, now, "primary silent " + s.member.id + " holding " + s.member.out.size());
         }
-        boolean inTime = t.aimAt.minus(now).compareTo(millis(calm[t.type.index()])) > 0;
+        boolean inTime = t.aimAt.minus(now).compareTo(millis(calm(t.type))) > 0;
         if (t.type.repeat() != Repeat.REPEATABLE || s.cancelled || !inTime || t.held
             || t.submissions.size() >= number("most-submissions") || !budget(now)) {
             return;
@@ -751,7 +744,7 @@
     /** When a held txn is given up: what it waits for could no longer be of use by then. */
     private Duration giveUpAt(Txn t, Duration now) {
         Duration useful = t.type.lateShare() > 0 ? t.expiresAt : min(t.aimAt, t.expiresAt);
-        double answer = Math.max(calm[t.type.index()], usual(t.type, now));
+        double answer = Math.max(calm(t.type), usual(t.type, now));
         return min(endAt(t), max(t.arrivedAt.plus(step), useful.minus(millis(answer))));
     }
 
@@ -780,14 +773,14 @@
 
     // ---- members' health ----
 
-    private void measure(Member m, Txn t, Duration took, Duration now) {
-        int i = t.type.index();
-        tookSum[i].add(now, ms(took));
-        tookCount[i].add(now, 1);
-        double mean = tookSum[i].read(now) / tookCount[i].read(now);
-        calm[i] = tookCount[i].read(now) < 4 ? calm[i] : Math.min(calm[i] * 1.0001, mean);
+    private void measure(Member m, Txn t, Duration time, Duration now) {
+        for (Took of : new Took[] {took[t.type.index()], kind(m)[t.type.index()]}) {
+            of.add(now, ms(time));
+            // A low mean that rises only slowly; the mean of a few is no ground for it.
+            of.calm = of.count.read(now) < 16 ? of.calm : Math.min(of.calm * 1.0002, of.usual(now));
+        }
         m.answers.add(now, 1);
-        m.slowness.add(now, ms(took) / target(t.type));
+        m.slowness.add(now, ms(time) / target(m, t.type));
         if (ratio(m, now) > 1) {
             m.limit = Math.max(1, m.limit - 0.25);
         } else if (m.out.size() + 1 >= m.limit - 1) {
@@ -800,8 +793,21 @@
     }
 
     /** What an answer may take of a member that is used but not crowded. */
-    private double target(TxnType type) {
-        return Math.cbrt(calm[type.index()] * calm[type.index()] * ms(type.slaTime()));
+    private double target(Member m, TxnType type) {
+        double calm = kind(m)[type.index()].calm;
+        return Math.cbrt(calm * calm * ms(type.slaTime()));
+    }
+
+    private Took[] kind(Member m) {
+        return tookByKind.computeIfAbsent(m.kind, k -> newTook());
+    }
+
+    private Took[] newTook() {
+        Took[] all = new Took[types.length];
+        for (int i = 0; i < all.length; i++) {
+            all[i] = new Took(memory.multipliedBy(4), ms(types[i].slaTime()) / 4);
+        }
+        return all;
     }
 
     private double ratio(Member m, Duration now) {
@@ -809,8 +815,11 @@
     }
 
     private double usual(TxnType type, Duration now) {
-        double n = tookCount[type.index()].read(now);
-        return n < 1 ? calm[type.index()] : tookSum[type.index()].read(now) / n;
+        return took[type.index()].usual(now);
+    }
+
+    private double calm(TxnType type) {
+        return took[type.index()].calm;
     }
 
     /**
@@ -846,7 +855,7 @@
         }
         if (end == End.FULL) {
             m.limit = Math.max(1, m.limit / 2);
-            m.shunnedUntil = max(m.shunnedUntil, now.plus(millis(calm[0])));
+            m.shunnedUntil = max(m.shunnedUntil, now.plus(millis(calm(types[0]))));
         } else {
             m.failures = 0;
             if (m.wasLost) {
@@ -859,7 +868,7 @@
 
     private void fault(Member m, Duration now, End end) {
         m.failures++;
-        m.wasLost = true;
+        m.wasLost |= end == End.UNREACHABLE || end == End.RESET;
         Duration pause = times(max(Duration.ofMillis(250), time("connect-time-out")),
             Math.pow(2, Math.min(m.failures - 1, 3)));
         m.shunnedUntil = now.plus(times(pause, 0.75 + 0.5 * random.nextDouble()));
@@ -890,7 +899,7 @@
                 n++;
             }
         }
-        double least = 2 * calm[0];
+        double least = 2 * calm(types[0]);
         double most = n == 0 ? 0 : warm * number("fall-multiple") * 0.75 * peers / n;
         return m.sent.read(now) < Math.max(least, most);
     }
