A replica's growing lag counts as crowding and lowers its limit

Others excluded: ratio of answer times under 1, no search on. Should also hold for slow log application; may hurt where the lag has nothing to do with reads.

--- a/src/main/java/wingroad/routing/TxnRouter.java
+++ b/src/main/java/wingroad/routing/TxnRouter.java
@@ -56,6 +56,8 @@
     private final DecayingSum committed;
     private final Duration[] longestTry;
     private final Duration memory;
+    /** The shortest age that a read's data may have. */
+    private final Duration bound;
     private final Duration step;
     private final Duration cold;
     private final boolean checked;
@@ -89,6 +91,7 @@
         this.longestTry = new Duration[types.length];
         Arrays.fill(longestTry, Duration.ZERO);
         Duration longest = Duration.ofSeconds(1);
+        Duration shortest = null;
         for (int i = 0; i < types.length; i++) {
             String t = "txn-type." + i + ".";
             types[i] = new TxnType(i, time(t + "sla-time"), time(t + "expiry"), number(t + "value"),
@@ -104,8 +107,11 @@
                     default -> Freshness.LOOSE;
                 }, time(t + "oldest-data"), time(t + "window"), "all".equals(terms.get(t + "repeats-dropped-by")));
             longest = max(longest, types[i].slaTime());
+            Duration age = types[i].oldestData();
+            shortest = age.isZero() ? shortest : shortest == null ? age : min(shortest, age);
         }
         this.memory = longest;
+        this.bound = shortest == null ? longest : shortest;
         this.took = newTook();
         this.firsts = new DecayingSum(longest.multipliedBy(4));
         this.furthers = new DecayingSum(longest.multipliedBy(4));
@@ -781,7 +787,10 @@
         }
         m.answers.add(now, 1);
         m.slowness.add(now, ms(time) / target(m, t.type));
-        if (ratio(m, now) > 1) {
+        // Guards against replicas that fall behind because they are crowded: the log is applied with what the
+        // reads leave, so a growing lag is a sign of crowding well before answers slow down.
+        boolean behind = m != m.group.primary && m.behind != null && m.behind.compareTo(bound.dividedBy(3)) > 0;
+        if (behind || ratio(m, now) > 1) {
             m.limit = Math.max(1, m.limit - 0.25);
         } else if (m.out.size() + 1 >= m.limit - 1) {
             m.limit += 1 / m.limit;
