--- a/src/main/java/wingroad/routing/TxnRouter.java
+++ b/src/main/java/wingroad/routing/TxnRouter.java
@@ -475,7 +475,7 @@
                     i.remove();
                     continue;
                 }
-                if (p.out.size() >= writeRoom(p, now) || now.compareTo(p.shunnedUntil) < 0) {
+                if (p.out.size() >= room(p, now) || now.compareTo(p.shunnedUntil) < 0) {
                     wake(g, max(p.shunnedUntil, now.plus(Duration.ofMillis(50))));
                     return;
                 }
@@ -913,12 +913,6 @@
         return m.sent.read(now) < Math.max(least, most);
     }
 
-    /** Writes have nowhere else to go: they may crowd the primary a little more than reads. */
-    private double writeRoom(Member m, Duration now) {
-        double room = room(m, now);
-        return m.failures > 0 || room == 0 ? room : Math.max(2, room * 1.5);
-    }
-
     private double warmth(Member m, Duration now) {
         if (m.startedAt == null || cold.isZero()) {
             return 1;
