Late or later tries only where a member is half empty; lag counts only with slow answers; reads get 3/4 of the primary

A lag that had nothing to do with reads drove limits to 1. May hurt where late answers spare a price for late endings.

--- a/src/main/java/wingroad/routing/TxnRouter.java
+++ b/src/main/java/wingroad/routing/TxnRouter.java
@@ -510,7 +510,7 @@
                     continue;
                 }
                 looked++;
-                Member m = choose(g, t, now);
+                Member m = choose(g, t, last ? 0.5 : 1, now);
                 if (m != null) {
                     i.remove();
                     submit(t, m, now);
@@ -524,8 +524,8 @@
         return ms(t.aimAt.minus(now)) < calm(t.type);
     }
 
-    /** The member for a read, or null: it waits. */
-    private Member choose(Group g, Txn t, Duration now) {
+    /** The member for a read, which may fill the given part of its room, or null: it waits. */
+    private Member choose(Group g, Txn t, double part, Duration now) {
         Duration need = needs(t, now);
         Member best = null;
         Member leastBehind = null;
@@ -545,7 +545,7 @@
             if (!ok && checked && m.behind != null) {
                 ok = now.minus(m.behind).compareTo(need) >= 0;
             }
-            boolean room = m.out.size() < room(m, now);
+            boolean room = m.out.size() < part * room(m, now);
             if (!ok) {
                 if (room && !missedAt(t, m) && !sureMiss(m, need, now) && (leastBehind == null
                     || behind(m).compareTo(behind(leastBehind)) < 0)) {
@@ -578,12 +578,12 @@
         if (quiet(p, now) || mustStop(p, now, true) || now.compareTo(p.shunnedUntil) < 0) {
             return null;
         }
-        // Reads that need the primary leave half of its room to the writes.
-        double room = room(p, now);
+        // Reads that need the primary leave a part of its room to the writes.
+        double room = part * room(p, now);
         if (current || replicas == 0) {
             return p.out.size() < room ? p : null;
         }
-        if (p.out.size() + 1 > room / 2) {
+        if (p.out.size() + 1 > room * 0.75) {
             return null;
         }
         if (t.type.freshness() == Freshness.OWN_WRITES) {
@@ -790,7 +790,7 @@
         // Guards against replicas that fall behind because they are crowded: the log is applied with what the
         // reads leave, so a growing lag is a sign of crowding well before answers slow down.
         boolean behind = m != m.group.primary && m.behind != null && m.behind.compareTo(bound.dividedBy(3)) > 0;
-        if (behind || ratio(m, now) > 1) {
+        if (ratio(m, now) > (behind ? 0.75 : 1)) {
             m.limit = Math.max(1, m.limit - 0.25);
         } else if (m.out.size() + 1 >= m.limit - 1) {
             m.limit += 1 / m.limit;
