A broken connection alone is neither a restart nor a loss; members with faults cost more

Each reset made the member count as restarted, which gave it the cold budget for 17 s. Found by counting ends per member; excluded: no member was down (all answered), no primary changed. Should also hold for flaky links and connection caps; may hurt if a restart is quicker than the longest SLA time.

--- a/src/main/java/wingroad/routing/TxnRouter.java
+++ b/src/main/java/wingroad/routing/TxnRouter.java
@@ -289,7 +289,7 @@
         }
         m.probeOut = false;
         if (!answered) {
-            m.wasLost = true;
+            m.lostSince = m.lostSince == null ? now : m.lostSince;
             if (m.group.primary == m) {
                 search(m.group, now, "probe failed at " + m.id);
             }
@@ -646,7 +646,7 @@
     }
 
     private double cost(Member m, Duration now) {
-        double slow = Math.min(4, Math.max(0.5, ratio(m, now)));
+        double slow = Math.min(4, Math.max(0.5, ratio(m, now))) * (1 + m.faults.read(now) / (1 + m.answers.read(now)));
         double away = m.zone != (int) number("zone") && number("price.cross-zone") > 0 ? 0.25 : 0;
         return (m.out.size() + 0.5) / room(m, now) * slow + away + random.nextDouble() * 0.02;
     }
@@ -867,17 +867,25 @@
             m.shunnedUntil = max(m.shunnedUntil, now.plus(millis(calm(types[0]))));
         } else {
             m.failures = 0;
-            if (m.wasLost) {
-                // Guards against pushing over a member that came back before the list said so.
-                m.wasLost = false;
-                m.startedAt = m.startedAt == null ? now : max(m.startedAt, now);
+            // Guards against pushing over a member that came back before the list said so. A broken connection
+            // alone is no restart: it must have been out of reach for a while.
+            if (m.lostSince != null && now.minus(m.lostSince).compareTo(memory) > 0) {
+                m.startedAt = now;
             }
+            m.lostSince = null;
         }
     }
 
     private void fault(Member m, Duration now, End end) {
         m.failures++;
-        m.wasLost |= end == End.UNREACHABLE || end == End.RESET;
+        m.faults.add(now, 1);
+        if (m.lostSince == null && (end == End.UNREACHABLE || end == End.RESET)) {
+            m.lostSince = now;
+        }
+        // One broken connection among answers is no loss; with the next it is left alone for a while.
+        if (m.failures < 2 && end == End.RESET) {
+            return;
+        }
         Duration pause = times(max(Duration.ofMillis(250), time("connect-time-out")),
             Math.pow(2, Math.min(m.failures - 1, 3)));
         m.shunnedUntil = now.plus(times(pause, 0.75 + 0.5 * random.nextDouble()));
@@ -885,7 +893,7 @@
 
     /** How many submissions the member may hold of this driver. */
     private double room(Member m, Duration now) {
-        if (m.failures > 0) {
+        if (m.failures > 1 || m.failures > 0 && now.compareTo(m.shunnedUntil) < 0) {
             return 1;
         }
         double warm = warmth(m, now);
--- a/src/main/java/wingroad/state/Member.java
+++ b/src/main/java/wingroad/state/Member.java
@@ -45,7 +45,10 @@
     public final DecayingSum sent;
     public int failures;
     public Duration shunnedUntil = Duration.ZERO;
-    public boolean wasLost;
+    /** Since when it has been out of reach, or null. */
+    public Duration lostSince;
+    /** Decaying faults, over the same span as the answers. */
+    public final DecayingSum faults;
 
     public boolean probeOut;
     public Duration probedAt;
@@ -55,5 +58,6 @@
         this.id = id;
         this.answers = new DecayingSum(memory);
         this.slowness = new DecayingSum(memory);
+        this.faults = new DecayingSum(memory);
     }
 }
