--- a/src/main/java/wingroad/routing/TxnRouter.java
+++ b/src/main/java/wingroad/routing/TxnRouter.java
@@ -1,6 +1,6 @@
 // THE MODULE: every decision of the driver. How to call it: Router.java, beside this file, is its interface.
 // Build one with the deployment's terms, a seed and a place for log lines; tell it what happens through the
-// input calls; after each, and at wakeAt(), pull next(now) until it is null. Words and reasons: docs/design.md.
+// input calls; after each, and at wakeAt(), pull next(now) until it is null. The reasons: docs/design.md.
 package wingroad.routing;
 
 import java.time.Duration;
@@ -105,7 +105,8 @@
                     case "own-writes" -> Freshness.OWN_WRITES;
                     case "recent" -> Freshness.RECENT;
                     default -> Freshness.LOOSE;
-                }, time(t + "oldest-data"), time(t + "window"), "all".equals(terms.get(t + "repeats-dropped-by")));
+                }, time(t + "oldest-data"), time(t + "window"),
+                "all".equals(terms.get(t + "repeats-dropped-by")));
             longest = max(longest, types[i].slaTime());
             Duration age = types[i].oldestData();
             shortest = age.isZero() ? shortest : shortest == null ? age : min(shortest, age);
@@ -198,8 +199,8 @@
                            Duration sinceWrite, boolean retry) {
         Group g = groups.computeIfAbsent(group, Group::new);
         Txn t = new Txn(id, types[type], g, now, now.plus(left), session, retry);
-        // The SLA time runs from the client's first try. A try with less time than others of its type get is a
-        // later one: what its client has left of the expiry tells how long ago the first was.
+        // The SLA time runs from the client's first try. A try with less time than others of its type get is
+        // a later one: what its client has left of the expiry tells how long ago the first was.
         longestTry[type] = max(longestTry[type], left);
         if (left.plus(step).compareTo(longestTry[type]) < 0) {
             t.aimAt = t.aimAt.minus(max(Duration.ZERO, t.type.expiry().minus(left)));
@@ -250,7 +251,7 @@
         }
         if (role != Role.UNKNOWN) {
             m.toldReplica = role == Role.REPLICA;
-            heard(m, role, role == Role.PRIMARY && position != null && end != End.COMMITTED ? position : now, now);
+            heard(m, role, now, now);
         }
         heardPosition(m, position, now);
         Group g = m.group;
@@ -376,7 +377,8 @@
             return;
         }
         // Guards against confirming a primary that is gone or hangs by a report from before it went.
-        if (g.primary == m && (at.compareTo(g.searchSince) <= 0 || m.silent || m.shunnedUntil.compareTo(now) > 0)) {
+        if (g.primary == m && (at.compareTo(g.searchSince) <= 0 || m.silent
+            || m.shunnedUntil.compareTo(now) > 0)) {
             return;
         }
         boolean changed = g.primary != m;
@@ -612,7 +614,7 @@
 
     private static boolean missedAt(Txn t, Member m) {
         for (Submission s : t.submissions) {
-            if (s.member == m) {
+            if (s.member == m && (s.out() || s.end == End.MISSED)) {
                 return true;
             }
         }
@@ -646,7 +648,8 @@
     }
 
     private double cost(Member m, Duration now) {
-        double slow = Math.min(4, Math.max(0.5, ratio(m, now))) * (1 + m.faults.read(now) / (1 + m.answers.read(now)));
+        double slow = Math.min(4, Math.max(0.5, ratio(m, now)))
+            * (1 + m.faults.read(now) / (1 + m.answers.read(now)));
         double away = m.zone != (int) number("zone") && number("price.cross-zone") > 0 ? 0.25 : 0;
         return (m.out.size() + 0.5) / room(m, now) * slow + away + random.nextDouble() * 0.02;
     }
@@ -734,7 +737,8 @@
         boolean harmless = t.type.repeat() == Repeat.REPEATABLE || !t.mayHaveRun()
             || t.type.repeat() == Repeat.REFERENCED && t.type.anyMemberDropsRepeats();
         if (harmless) {
-            ready.add(Decision.decline(t.id, flag("may-advise-come-back") ? time("longest-come-back") : null));
+            Duration comeBack = flag("may-advise-come-back") ? time("longest-come-back") : null;
+            ready.add(Decision.decline(t.id, comeBack));
         } else {
             ready.add(Decision.rollBack(t.id));
         }
@@ -789,7 +793,7 @@
         m.slowness.add(now, ms(time) / target(m, t.type));
         // Guards against replicas that fall behind because they are crowded: the log is applied with what the
         // reads leave, so a growing lag is a sign of crowding well before answers slow down.
-        boolean behind = m != m.group.primary && m.behind != null && m.behind.compareTo(bound.dividedBy(3)) > 0;
+        boolean behind = m != m.group.primary && behind(m).compareTo(bound.dividedBy(3)) > 0;
         if (ratio(m, now) > (behind ? 0.75 : 1)) {
             m.limit = Math.max(1, m.limit - 0.25);
         } else if (m.out.size() + 1 >= m.limit - 1) {
@@ -832,8 +836,8 @@
     }
 
     /**
-     * Silent: work out at it has waited, all together, several usual answer times since its last sign. It ends
-     * with the next answer; a member whose work all ran out without one is tried again one at a time.
+     * Silent: work out at it has waited, all together, several usual answer times since its last sign. The
+     * next answer ends it; a member whose work all ran out without one is tried again one at a time.
      */
     private boolean quiet(Member m, Duration now) {
         if (m.silent) {
@@ -846,7 +850,7 @@
         for (Submission s : m.out) {
             waited += ms(now.minus(max(s.sentAt, m.quietSince))) / usual(s.txn.type, now);
         }
-        // The last sign must be a usual answer time away as well: many out at once are no reason to doubt sooner.
+        // The last sign must be a usual answer time away as well: many out are no reason to doubt sooner.
         Txn any = m.out.iterator().next().txn;
         if (waited > PATIENCE && ms(now.minus(m.quietSince)) > usual(any.type, now)) {
             m.silent = true;
@@ -867,8 +871,8 @@
             m.shunnedUntil = max(m.shunnedUntil, now.plus(millis(calm(types[0]))));
         } else {
             m.failures = 0;
-            // Guards against pushing over a member that came back before the list said so. A broken connection
-            // alone is no restart: it must have been out of reach for a while.
+            // Guards against pushing over a member that came back before the list said so. A broken
+            // connection alone is no restart: it must have been out of reach for a while.
             if (m.lostSince != null && now.minus(m.lostSince).compareTo(memory) > 0) {
                 m.startedAt = now;
             }
@@ -934,7 +938,8 @@
         if (m.stopTold == null || m.gone && !m.seenDraining && flag("removal-not-binding")) {
             return false;
         }
-        Duration grace = asPrimary && !m.gone ? time("drain-grace").minus(step.multipliedBy(2)) : Duration.ZERO;
+        Duration grace = asPrimary && !m.gone ? time("drain-grace").minus(step.multipliedBy(2))
+            : Duration.ZERO;
         return now.compareTo(m.stopTold.plus(grace)) >= 0;
     }
 
--- a/src/main/java/wingroad/simhost/Instance.java
+++ b/src/main/java/wingroad/simhost/Instance.java
@@ -28,7 +28,8 @@
         Object family = profile.get("family-info");
         this.zero = family instanceof Map<?, ?> m && m.get("zero") instanceof Number n ? n.doubleValue() : 0;
         Object report = profile.get("report");
-        this.reportNames = report instanceof Map<?, ?> m && m.get("names") instanceof List<?> l ? l : List.of();
+        this.reportNames = report instanceof Map<?, ?> m && m.get("names") instanceof List<?> names
+            ? names : List.of();
         this.log = steps;
         this.router = new TxnRouter(Terms.of(profile), seed, this::writeLog);
     }
@@ -41,8 +42,8 @@
         return Wire.ms(at.plusNanos(Math.round(startWall * 1000) * 1000));
     }
 
-    void take(double wall, String name, Map<String, Object> event, Map<Long, List<?>> lists, JsonGenerator steps)
-            throws IOException {
+    void take(double wall, String name, Map<String, Object> event, Map<Long, List<?>> lists,
+              JsonGenerator steps) throws IOException {
         log = steps;
         Duration now = sinceStart(wall);
         try {
@@ -99,8 +100,9 @@
             Map<String, Object> entry = Wire.object(e, "a list entry");
             double launched = Wire.number(entry, "launched", 0).doubleValue();
             String readiness = entry.get("readiness") instanceof String s ? s : "in_service";
-            router.listed(now, Wire.number(entry, "member").longValue(), Wire.number(entry, "group", 0).intValue(),
-                Wire.number(entry, "site", 0).intValue(), Wire.number(entry, "class-of-host", 0).intValue(),
+            router.listed(now, Wire.number(entry, "member").longValue(),
+                Wire.number(entry, "group", 0).intValue(), Wire.number(entry, "site", 0).intValue(),
+                Wire.number(entry, "class-of-host", 0).intValue(),
                 Wire.number(entry, "heft", 1).doubleValue(), Wire.number(entry, "head", 0).doubleValue() == 1,
                 readiness.equals("terminating"), readiness.equals("terminated"),
                 launched > 0 ? sinceStart(launched) : null);
@@ -124,8 +126,9 @@
         };
         long stand = Wire.number(event, "stand", 0).longValue();
         Duration position = stand >> 2 == 0 ? null : sinceStart(zero + (stand >> 2));
-        router.submissionEnded(now, Wire.text(event, "op-id"), Wire.number(event, "round-no", 0).intValue(), member,
-            end, took(event), Boolean.TRUE.equals(event.get("terminal")), role((int) (stand & 3)), position);
+        router.submissionEnded(now, Wire.text(event, "op-id"),
+            Wire.number(event, "round-no", 0).intValue(), member, end, took(event),
+            Boolean.TRUE.equals(event.get("terminal")), role((int) (stand & 3)), position);
     }
 
     private static Member.Role role(int number) {
--- a/src/main/java/wingroad/simhost/Terms.java
+++ b/src/main/java/wingroad/simhost/Terms.java
@@ -87,7 +87,8 @@
             Object fresh = element(at(wire, "family-info.consistency"), i);
             terms.put(prefix + "reads", fresh instanceof String s ? word(s) : "loose");
             terms.put(prefix + "oldest-data",
-                element(at(wire, "family-info.oldest-data"), i) instanceof Number n ? Wire.span(n) : Duration.ZERO);
+                element(at(wire, "family-info.oldest-data"), i) instanceof Number n ? Wire.span(n)
+                    : Duration.ZERO);
         }
         return terms;
     }
--- a/src/main/java/wingroad/state/Group.java
+++ b/src/main/java/wingroad/state/Group.java
@@ -19,7 +19,7 @@
     /** Txns that wait for a member, in the order in which they came. */
     public final ArrayDeque<Txn> writes = new ArrayDeque<>();
     public final ArrayDeque<Txn> reads = new ArrayDeque<>();
-    /** The part of the reads without a fresh replica that may go to the primary, and what of it is saved up. */
+    /** The part of the reads without a fit replica that may go to the primary, and what of it is saved. */
     public double spillShare;
     public double spillCredit;
     /** The time for which the newest claim to be primary was proven. */
--- /dev/null
+++ b/src/test/java/wingroad/routing/TxnRouterTest.java
@@ -0,0 +1,280 @@
+package wingroad.routing;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static wingroad.routing.Given.READ;
+import static wingroad.routing.Given.WRITE;
+import static wingroad.routing.Given.at;
+
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import wingroad.routing.Decision.Kind;
+import wingroad.state.Member.Role;
+import wingroad.state.Submission.End;
+
+class TxnRouterTest {
+
+    private static List<Decision> of(Kind kind, List<Decision> all) {
+        return all.stream().filter(d -> d.kind() == kind).toList();
+    }
+
+    @Test
+    void firstWriteIsHeldAndAllMembersAreAsked() {
+        Given g = new Given().group(1, 2, 3);
+        g.txn(10, "w", WRITE, 3000);
+        List<Decision> all = g.decisions(10);
+        assertThat(of(Kind.SUBMIT, all)).isEmpty();
+        assertThat(of(Kind.PROBE, all)).extracting(Decision::member).containsExactly(1L, 2L, 3L);
+    }
+
+    @Test
+    void heldWritesWakeTogetherOnTheConfirmedPrimary() {
+        Given g = new Given().group(1, 2, 3);
+        g.txn(10, "a", WRITE, 3000);
+        g.txn(11, "b", WRITE, 3000);
+        g.decisions(11);
+        g.says(20, 2, Role.PRIMARY, 18);
+        assertThat(of(Kind.SUBMIT, g.decisions(20))).extracting(Decision::txn, Decision::member)
+            .containsExactly(org.assertj.core.api.Assertions.tuple("a", 2L),
+                org.assertj.core.api.Assertions.tuple("b", 2L));
+    }
+
+    @Test
+    void aConfirmedPrimaryIsProbedFastAfterwards() {
+        Given g = new Given().group(1, 2);
+        g.txn(10, "w", WRITE, 3000);
+        g.decisions(10);
+        g.says(20, 1, Role.PRIMARY, 18);
+        g.decisions(20);
+        assertThat(of(Kind.PROBE, g.decisions(125))).extracting(Decision::member).contains(1L);
+    }
+
+    @Test
+    void aSearchIsRepeatedUntilOneSaysYes() {
+        Given g = new Given().group(1, 2);
+        g.txn(10, "w", WRITE, 3000);
+        g.decisions(10);
+        g.says(20, 1, Role.REPLICA, 5);
+        g.says(20, 2, Role.REPLICA, 5);
+        assertThat(of(Kind.PROBE, g.until(115))).hasSize(2);
+    }
+
+    @Test
+    void anErrorOnAWriteStartsASearchAndHoldsTheNext() {
+        Given g = new Given().group(1, 2).roles(5, 2);
+        g.txn(10, "a", WRITE, 3000);
+        g.decisions(10);
+        g.ends(20, "a", 0, 1, End.ERROR, Role.UNKNOWN);
+        g.txn(21, "b", WRITE, 3000);
+        List<Decision> all = g.decisions(21);
+        assertThat(of(Kind.SUBMIT, all)).isEmpty();
+        assertThat(of(Kind.PROBE, all)).hasSize(2);
+    }
+
+    @Test
+    void onceOnlyThatMayHaveRunIsRolledBackNeverDeclined() {
+        Given g = new Given().group(1, 2).roles(5, 2);
+        g.txn(10, "a", WRITE, 3000);
+        g.decisions(10);
+        g.ends(20, "a", 0, 1, End.RESET, Role.UNKNOWN);
+        List<Decision> all = g.until(3100);
+        assertThat(of(Kind.ROLL_BACK, all)).extracting(Decision::txn).containsExactly("a");
+        assertThat(of(Kind.DECLINE, all)).isEmpty();
+        assertThat(of(Kind.SUBMIT, all)).isEmpty();
+    }
+
+    @Test
+    void onceOnlyStillOutIsAnsweredBeforeItsClientGivesUp() {
+        Given g = new Given().group(1, 2).roles(5, 2);
+        g.txn(10, "a", WRITE, 1000);
+        g.decisions(10);
+        assertThat(of(Kind.ROLL_BACK, g.until(1004))).isEmpty();
+        assertThat(of(Kind.ROLL_BACK, g.until(1009))).hasSize(1);
+    }
+
+    @Test
+    void aMissedOnceOnlyGoesAgainAfterTheSearch() {
+        Given g = new Given().group(1, 2).roles(5, 2);
+        g.txn(10, "a", WRITE, 3000);
+        g.decisions(10);
+        g.ends(20, "a", 0, 1, End.MISSED, Role.REPLICA);
+        assertThat(of(Kind.SUBMIT, g.decisions(20))).isEmpty();
+        g.says(40, 2, Role.PRIMARY, 38);
+        assertThat(of(Kind.SUBMIT, g.decisions(40))).extracting(Decision::member).containsExactly(2L);
+    }
+
+    @Test
+    void aHeldWriteThatCannotBeServedIsDeclined() {
+        Given g = new Given().group(1, 2);
+        g.txn(10, "a", WRITE, 1000);
+        assertThat(of(Kind.DECLINE, g.until(1010))).extracting(Decision::txn).containsExactly("a");
+    }
+
+    @Test
+    void referencedIsNotRepeatedPastItsWindow() {
+        Given g = new Given().type(WRITE, "referenced", "update", 600, 9000).group(1, 2).roles(5, 2);
+        g.txn(10, "a", WRITE, 9000);
+        g.decisions(10);
+        g.ends(4500, "a", 0, 1, End.TIMED_OUT, Role.UNKNOWN);
+        List<Decision> all = g.until(4500);
+        assertThat(of(Kind.SUBMIT, all)).isEmpty();
+        assertThat(of(Kind.ROLL_BACK, all)).hasSize(1);
+    }
+
+    @Test
+    void noSecondSubmissionWhileOneIsOutWhereSecondCopiesAreOff() {
+        Given g = new Given().with("second-copies", false).group(1, 2, 3).roles(5, 2, 3);
+        g.txn(10, "r", READ, 2000);
+        g.decisions(10);
+        List<Decision> all = g.until(560);
+        assertThat(of(Kind.SUBMIT, all)).isEmpty();
+    }
+
+    @Test
+    void aReadFromASilentReplicaIsTriedElsewhere() {
+        Given g = new Given().type(READ, "repeatable", "recent", 2000, 4000)
+            .with("txn-type.0.oldest-data", at(3000)).group(1, 2, 3).roles(5, 2, 3);
+        for (int i = 0; i < 4; i++) {
+            g.txn(10, "r" + i, READ, 4000);
+        }
+        List<Decision> first = of(Kind.SUBMIT, g.decisions(10));
+        long quiet = first.get(0).member();
+        for (Decision d : first) {
+            if (d.member() != quiet) {
+                g.ends(20, d.txn(), 0, d.member(), End.COMMITTED, Role.REPLICA);
+            }
+        }
+        assertThat(of(Kind.SUBMIT, g.until(1500))).isNotEmpty()
+            .allMatch(d -> d.member() != quiet && d.submission() == 1);
+    }
+
+    @Test
+    void readsGoToReplicasOnly() {
+        Given g = new Given().group(1, 2, 3).roles(5, 2, 3);
+        for (int i = 0; i < 6; i++) {
+            g.txn(10, "r" + i, READ, 2000);
+        }
+        assertThat(of(Kind.SUBMIT, g.decisions(10))).hasSize(6).allMatch(d -> d.member() != 1);
+    }
+
+    @Test
+    void noReadGoesToAReplicaWhoseKnownPositionIsTooOld() {
+        Given g = new Given().group(1, 2).roles(5, 2);
+        g.txn(1003, "r", READ, 2000);
+        List<Decision> all = g.decisions(1003);
+        assertThat(of(Kind.SUBMIT, all)).isEmpty();
+        assertThat(of(Kind.PROBE, all)).extracting(Decision::member).contains(2L);
+        g.says(1010, 2, Role.REPLICA, 990);
+        assertThat(of(Kind.SUBMIT, g.decisions(1010))).extracting(Decision::member).containsExactly(2L);
+    }
+
+    @Test
+    void anOldReportDoesNotOverruleANewerAnswer() {
+        Given g = new Given().group(1, 2).roles(5, 2);
+        g.txn(10, "a", WRITE, 3000);
+        g.decisions(10);
+        g.ends(500, "a", 0, 1, End.COMMITTED, Role.PRIMARY);
+        g.says(510, 2, Role.PRIMARY, 300);
+        g.txn(520, "b", WRITE, 3000);
+        assertThat(of(Kind.SUBMIT, g.decisions(520))).extracting(Decision::member).containsExactly(1L);
+    }
+
+    @Test
+    void writesStopAtAPrimaryThatIsSilentOnWhatItHolds() {
+        Given g = new Given().group(1, 2).roles(5, 2);
+        for (int i = 0; i < 4; i++) {
+            g.txn(10, "w" + i, WRITE, 3000);
+        }
+        assertThat(of(Kind.SUBMIT, g.decisions(10))).hasSize(4);
+        g.txn(700, "late", WRITE, 3000);
+        assertThat(of(Kind.SUBMIT, g.decisions(700))).isEmpty();
+        // Its own probe's yes is no proof that it serves; an answer on the txn path is.
+        g.says(710, 1, Role.PRIMARY, 709);
+        assertThat(of(Kind.SUBMIT, g.decisions(710))).isEmpty();
+        g.ends(720, "w0", 0, 1, End.COMMITTED, Role.PRIMARY);
+        assertThat(of(Kind.SUBMIT, g.decisions(720))).extracting(Decision::txn).containsExactly("late");
+    }
+
+    @Test
+    void nothingNewGoesToADrainingReplica() {
+        Given g = new Given().group(1, 2, 3).roles(5, 2, 3);
+        g.router.listStarts(at(10), false);
+        g.listed(10, 2, true, null);
+        g.router.listEnds(at(10));
+        for (int i = 0; i < 5; i++) {
+            g.txn(11, "r" + i, READ, 2000);
+        }
+        assertThat(of(Kind.SUBMIT, g.decisions(11))).isNotEmpty().allMatch(d -> d.member() == 3);
+    }
+
+    @Test
+    void aDrainingPrimaryIsUsedWithinTheGraceOnly() {
+        Given g = new Given().group(1, 2).roles(5, 2);
+        g.router.listStarts(at(10), false);
+        g.listed(10, 1, true, null);
+        g.router.listEnds(at(10));
+        g.txn(500, "a", WRITE, 3000);
+        assertThat(of(Kind.SUBMIT, g.decisions(500))).hasSize(1);
+        g.ends(600, "a", 0, 1, End.COMMITTED, Role.PRIMARY);
+        g.txn(1001, "b", WRITE, 3000);
+        assertThat(of(Kind.SUBMIT, g.decisions(1001))).isEmpty();
+    }
+
+    @Test
+    void aColdMemberIsHeldToABudgetEvenIfItMissesQuickly() {
+        // Guards the fail-back rule: quick misses keep nothing out, so a limit on work out is no bound.
+        Given g = new Given().with("members-check", "hold").group(1).roles(5);
+        g.router.listStarts(at(6), false);
+        g.listed(6, 2, false, at(6));
+        g.router.listEnds(at(6));
+        int sent = 0;
+        for (int i = 0; i < 50; i++) {
+            g.txn(10 + i, "r" + i, READ, 2000);
+            for (Decision d : of(Kind.SUBMIT, g.decisions(10 + i))) {
+                sent += d.member() == 2 ? 1 : 0;
+                g.ends(10 + i, d.txn(), d.submission(), d.member(), End.MISSED, Role.REPLICA);
+            }
+        }
+        assertThat(sent).isBetween(1, 3);
+    }
+
+    @Test
+    void oneBrokenConnectionAmongAnswersIsNoLoss() {
+        Given g = new Given().group(1, 2).roles(5, 2);
+        g.txn(10, "a", READ, 2000);
+        g.decisions(10);
+        g.ends(15, "a", 0, 2, End.RESET, Role.UNKNOWN);
+        assertThat(of(Kind.SUBMIT, g.decisions(15))).extracting(Decision::member).containsExactly(2L);
+    }
+
+    @Test
+    void aSubscriptionThatFailsIsAskedForAgainLater() {
+        Given g = new Given().with("member-list", "ask").group(1, 2);
+        assertThat(of(Kind.FOLLOW_LIST, g.decisions(1))).hasSize(1);
+        g.router.listFailed(at(1000));
+        assertThat(of(Kind.FOLLOW_LIST, g.decisions(1000))).isEmpty();
+        assertThat(of(Kind.FOLLOW_LIST, g.until(2000))).hasSize(1);
+    }
+
+    @Test
+    void furtherSubmissionsStopWhenNoneSucceed() {
+        // Staff's way: how often further ones are made follows how many recent ones succeeded.
+        Given g = new Given().with("members-check", "hold").group(1, 2, 3, 4).roles(5, 2, 3, 4);
+        int further = 0;
+        for (int i = 0; i < 40; i++) {
+            g.txn(10 + i, "r" + i, READ, 2000);
+            for (Decision d : of(Kind.SUBMIT, g.decisions(10 + i))) {
+                further += d.submission() > 0 ? 1 : 0;
+                g.ends(10 + i, d.txn(), d.submission(), d.member(), End.ERROR, Role.REPLICA);
+            }
+        }
+        assertThat(further).isLessThan(10);
+    }
+
+    @Test
+    void aLapsedTxnGetsNoAnswer() {
+        Given g = new Given().group(1, 2);
+        g.txn(10, "w", WRITE, 1000);
+        g.router.txnLapsed(at(20), "w");
+        assertThat(g.until(2000)).noneMatch(d -> "w".equals(d.txn()));
+    }
+}
