--- a/src/main/java/wingroad/routing/TxnRouter.java
+++ b/src/main/java/wingroad/routing/TxnRouter.java
@@ -74,10 +74,9 @@
     private long alarmNumber;
     private boolean listWhole;
     private final List<Member> listNamed = new ArrayList<>();
-    private Duration listHeard = Duration.ZERO;
     private int listFailures;
-    private boolean listAsked;
-    private boolean listFollowed;
+    /** When the list is to be asked for next, or null before the first list. */
+    private Duration listAt;
 
     public TxnRouter(Map<String, Object> terms, long seed, Consumer<String> log) {
         this.terms = terms;
@@ -114,10 +113,11 @@
         this.memory = longest;
         this.bound = shortest == null ? longest : shortest;
         this.took = newTook();
-        this.firsts = new DecayingSum(longest.multipliedBy(4));
-        this.furthers = new DecayingSum(longest.multipliedBy(4));
-        this.ended = new DecayingSum(longest.multipliedBy(4));
-        this.committed = new DecayingSum(longest.multipliedBy(4));
+        Duration span = longest.multipliedBy(4);
+        this.firsts = new DecayingSum(span);
+        this.furthers = new DecayingSum(span);
+        this.ended = new DecayingSum(span);
+        this.committed = new DecayingSum(span);
     }
 
     // ---- inputs: they only update what is known ----
@@ -140,14 +140,10 @@
         }
         m.zone = zone;
         m.kind = kind;
-        m.weight = weight;
         m.seenDraining |= draining;
         if (startedAt != null && (m.startedAt == null || startedAt.compareTo(m.startedAt) > 0)) {
             m.startedAt = startedAt;
             m.limit = Math.max(1, FIRST_LIMIT * warmth(m, now));
-            if (m.listed) {
-                m.toldReplica = false;
-            }
         }
         tellStop(m, draining || gone, gone, now);
         m.listed = !gone;
@@ -179,11 +175,9 @@
                 }
             }
         }
-        listHeard = now;
         listFailures = 0;
-        if (!listAsked && ask) {
-            listAsked = true;
-            alarm(now, listNamed);
+        if (ask) {
+            askListAt(listAt == null ? now : now.plus(time("ask-within").dividedBy(2)));
         }
     }
 
@@ -191,7 +185,7 @@
     public void listFailed(Duration now) {
         listFailures++;
         Duration pause = time("ask-within").dividedBy(64).multipliedBy(1L << Math.min(listFailures, 4));
-        alarm(now.plus(times(pause, 0.5 + random.nextDouble())), listNamed);
+        askListAt(now.plus(times(pause, 0.5 + random.nextDouble())));
     }
 
     @Override
@@ -235,7 +229,8 @@
         if (end == End.COMMITTED) {
             committed.add(now, 1);
             measure(m, s.txn, took, now);
-            if (s.txn.type.update() && s.txn.session >= 0 && position != null) {
+            if (s.txn.type.update() && s.txn.session >= 0 && position != null
+                && "router".equals(terms.get("session-marks"))) {
                 sessionWrites.merge(s.txn.session, position, TxnRouter::max);
             }
         }
@@ -250,7 +245,6 @@
             fault(m, now, end);
         }
         if (role != Role.UNKNOWN) {
-            m.toldReplica = role == Role.REPLICA;
             heard(m, role, now, now);
         }
         heardPosition(m, position, now);
@@ -322,8 +316,9 @@
                 } else if (a.what instanceof Group g) {
                     g.wakeAsked = null;
                     touch(g);
-                } else {
-                    followList(now);
+                } else if (a.what == listAt) {
+                    askListAt(now.plus(time("ask-within").dividedBy(4)));
+                    return Decision.followList();
                 }
             } else if (!dirty.isEmpty()) {
                 Group g = dirty.poll();
@@ -359,10 +354,10 @@
     /** Evidence of a role, with the time that it is proven for; the newest claim to be primary wins. */
     private void heard(Member m, Role role, Duration at, Duration now) {
         Group g = m.group;
-        if (m.roleAt == null || at.compareTo(m.roleAt) >= 0) {
-            m.role = role;
-            m.roleAt = at;
+        if (m.roleAt != null && at.compareTo(m.roleAt) < 0) {
+            return;
         }
+        m.roleAt = at;
         if (role == Role.REPLICA) {
             if (g.primary == m && (g.claimAt == null || at.compareTo(g.claimAt) > 0)) {
                 search(g, now, "primary says replica " + m.id);
@@ -381,31 +376,24 @@
             || m.shunnedUntil.compareTo(now) > 0)) {
             return;
         }
-        boolean changed = g.primary != m;
         Member old = g.primary;
         g.primary = m;
         g.claimAt = at;
-        if (g.searching || changed) {
-            log.accept("group " + g.id + " primary " + m.id + (g.searching ? " found after "
-                + (long) ms(now.minus(g.searchSince)) + " ms, held " + g.writes.size() : " by claim"));
-        }
+        log.accept("group " + g.id + " primary " + m.id + (g.searching ? " found after "
+            + (long) ms(now.minus(g.searchSince)) + " ms, held " + g.writes.size() : " by claim"));
         g.searching = false;
         g.searchRounds = 0;
         g.watchUntil = now.plus(WATCH_SPAN);
         g.nextProbe = now.plus(WATCH_PROBE);
-        if (old != null && changed) {
-            freeReferenced(old);
-        }
-        touch(g);
-    }
-
-    /** What a former primary still holds of referenced txns goes to the new one. */
-    private void freeReferenced(Member old) {
-        for (Submission s : old.out) {
-            if (s.txn.type.repeat() == Repeat.REFERENCED && !s.txn.answered) {
-                cancel(s);
+        if (old != null && old != m) {
+            // What a former primary still holds of referenced txns goes to the new one.
+            for (Submission s : old.out) {
+                if (s.txn.type.repeat() == Repeat.REFERENCED && !s.txn.answered) {
+                    cancel(s);
+                }
             }
         }
+        touch(g);
     }
 
     private void search(Group g, Duration now, String cause) {
@@ -540,7 +528,7 @@
                 continue;
             }
             replicas++;
-            if (quiet(m, now) || now.compareTo(m.shunnedUntil) < 0) {
+            if (away(m, now)) {
                 continue;
             }
             boolean ok = need == null || m.position != null && m.position.compareTo(need) >= 0;
@@ -574,10 +562,7 @@
             return leastBehind;
         }
         Member p = g.primary;
-        if (p == null || g.searching) {
-            return null;
-        }
-        if (quiet(p, now) || mustStop(p, now, true) || now.compareTo(p.shunnedUntil) < 0) {
+        if (p == null || g.searching || away(p, now) || mustStop(p, now, true)) {
             return null;
         }
         // Reads that need the primary leave a part of its room to the writes.
@@ -637,7 +622,7 @@
         int start = random.nextInt(g.members.size());
         for (int i = 0; i < g.members.size() && asked < 2; i++) {
             Member m = g.members.get((start + i) % g.members.size());
-            if (m != g.primary && now.compareTo(m.shunnedUntil) >= 0 && !m.silent
+            if (m != g.primary && !away(m, now)
                 && (m.probedAt == null || now.minus(m.probedAt).compareTo(bound.dividedBy(4)) > 0)
                 && (m.positionHeard == null || now.minus(m.positionHeard).compareTo(bound.dividedBy(4)) > 0)
                 && probe(m, now)) {
@@ -794,7 +779,11 @@
         // Guards against replicas that fall behind because they are crowded: the log is applied with what the
         // reads leave, so a growing lag is a sign of crowding well before answers slow down.
         boolean behind = m != m.group.primary && behind(m).compareTo(bound.dividedBy(3)) > 0;
-        if (ratio(m, now) > (behind ? 0.75 : 1)) {
+        // Guards against starving a member that is slow by itself: fewer out would not make it quicker. Its
+        // lowest slowness of late, which rises only slowly, says how much of it is not crowding.
+        m.floor = Math.min(m.floor * 1.005, ratio(m, now));
+        double most = Math.min(Math.max(1, 1.4 * m.floor), 0.6 * ms(t.type.slaTime()) / target(m, t.type));
+        if (ratio(m, now) > (behind ? 0.75 : 1) * most) {
             m.limit = Math.max(1, m.limit - 0.25);
         } else if (m.out.size() + 1 >= m.limit - 1) {
             m.limit += 1 / m.limit;
@@ -860,6 +849,11 @@
         return m.silent;
     }
 
+    /** Not to be used now: silent, or left alone after faults. */
+    private boolean away(Member m, Duration now) {
+        return now.compareTo(m.shunnedUntil) < 0 || quiet(m, now);
+    }
+
     private void signOfLife(Member m, Duration now, End end) {
         m.quietSince = now;
         if (m.silent) {
@@ -901,10 +895,7 @@
             return 1;
         }
         double warm = warmth(m, now);
-        if (warm >= 1) {
-            return Math.max(1, m.limit);
-        }
-        return coldBudget(m, warm, now) ? Math.max(1, m.limit) : 0;
+        return warm >= 1 || coldBudget(m, warm, now) ? m.limit : 0;
     }
 
     /**
@@ -956,14 +947,10 @@
 
     // ---- the member list ----
 
-    /** Where the list must be asked for: follow it, again after failures, and when it was quiet for long. */
-    private void followList(Duration now) {
-        Duration due = listHeard.plus(time("ask-within").dividedBy(2));
-        if (!listFollowed || listFailures > 0 || now.compareTo(due) >= 0) {
-            listFollowed = true;
-            ready.add(Decision.followList());
-        }
-        alarm(max(due, now.plus(time("ask-within").dividedBy(4))), listNamed);
+    /** Where the list must be asked for: follow it, again after failures and when it was quiet for long. */
+    private void askListAt(Duration at) {
+        listAt = at;
+        alarm(at, at);
     }
 
     // ---- small things ----
--- a/src/main/java/wingroad/state/Member.java
+++ b/src/main/java/wingroad/state/Member.java
@@ -12,7 +12,6 @@
     public Group group;
     public int zone;
     public int kind;
-    public double weight = 1;
     public boolean listed;
     /** When this driver learned that it drains or is gone, or null. */
     public Duration stopTold;
@@ -21,11 +20,8 @@
     /** When it last started, or null for long ago or unknown. */
     public Duration startedAt;
 
-    public Role role = Role.UNKNOWN;
-    /** The time for which the role was proven. */
+    /** The time for which its role was last proven. */
     public Duration roleAt;
-    /** An answer (not a report) has said that it is no primary, and none since that it is. */
-    public boolean toldReplica;
     /** Proven lower bound of its log position, or null. */
     public Duration position;
     /** How far behind it was when that position was heard, and when. */
@@ -38,6 +34,8 @@
     /** Mode: silent on work that it holds. */
     public boolean silent;
     public double limit;
+    /** The lowest slowness of late; rises slowly. */
+    public double floor = 0.6;
     /** Decaying answers and their summed slowness (took as a ratio of the target). */
     public final DecayingSum answers;
     public final DecayingSum slowness;
