--- a/src/main/java/wingroad/routing/TxnRouter.java
+++ b/src/main/java/wingroad/routing/TxnRouter.java
@@ -778,14 +778,12 @@
         m.slowness.add(now, ms(time) / target(m, t.type));
         // Guards against replicas that fall behind because they are crowded: the log is applied with what the
         // reads leave, so a growing lag is a sign of crowding well before answers slow down.
-        boolean behind = m != m.group.primary && behind(m).compareTo(bound.dividedBy(3)) > 0
-            && behind(m).compareTo(m.behindBefore) > 0;
-        m.behindBefore = behind(m);
+        boolean behind = m != m.group.primary && behind(m).compareTo(bound.dividedBy(3)) > 0;
         // Guards against starving a member that is slow by itself: fewer out would not make it quicker. Its
         // lowest slowness of late, which rises only slowly, says how much of it is not crowding.
         m.floor = Math.min(m.floor * 1.005, ratio(m, now));
         double most = Math.min(Math.max(1, 1.4 * m.floor), 0.6 * ms(t.type.slaTime()) / target(m, t.type));
-        if (behind || ratio(m, now) > most) {
+        if (ratio(m, now) > (behind ? 0.75 : 1) * most) {
             m.limit = Math.max(1, m.limit - 0.25);
         } else if (m.out.size() + 1 >= m.limit - 1) {
             m.limit += 1 / m.limit;
