Fast probes only after a change of primary or a search of more than one round

The source speeds up monitoring so that the topology settles after a failover; there is none here. May hurt if a handover starts within the first 5 s of a driver.

--- a/src/main/java/wingroad/routing/TxnRouter.java
+++ b/src/main/java/wingroad/routing/TxnRouter.java
@@ -381,10 +381,14 @@
         g.claimAt = at;
         log.accept("group " + g.id + " primary " + m.id + (g.searching ? " found after "
             + (long) ms(now.minus(g.searchSince)) + " ms, held " + g.writes.size() : " by claim"));
+        // The fast probes follow a change: the same primary found again, or found at the first asking of a fresh
+        // driver, leaves nothing to settle.
+        if (old != null && old != m || g.searchRounds > 1) {
+            g.watchUntil = now.plus(WATCH_SPAN);
+        }
         g.searching = false;
         g.searchRounds = 0;
-        g.watchUntil = now.plus(WATCH_SPAN);
-        g.nextProbe = now.plus(WATCH_PROBE);
+        g.nextProbe = now.plus(now.compareTo(g.watchUntil) < 0 ? WATCH_PROBE : STEADY_PROBE);
         if (old != null && old != m) {
             // What a former primary still holds of referenced txns goes to the new one.
             for (Submission s : old.out) {
