--- a/src/main/java/wingroad/routing/TxnRouter.java
+++ b/src/main/java/wingroad/routing/TxnRouter.java
@@ -780,16 +780,21 @@
         }
         m.answers.add(now, 1);
         m.slowness.add(now, ms(time) / target(m, t.type));
-        // Guards against replicas that fall behind because they are crowded: the log is applied with what the
-        // reads leave, so a growing lag is a sign of crowding well before answers slow down.
-        boolean behind = m != m.group.primary && behind(m).compareTo(bound.dividedBy(3)) > 0;
+        // Guards against replicas that fall behind because they are crowded, stand idle at the bound's edge until
+        // they have caught up, and are crowded again: the log is applied with what the reads leave, so a lag well
+        // inside the bound that grows lowers the limit, and one that does not keeps it from rising.
+        // Where answers are quick the lag has another cause, and sending less would not mend it.
+        boolean behind = m != m.group.primary && behind(m).compareTo(bound.dividedBy(4)) > 0
+            && ratio(m, now) > 0.75;
+        boolean growing = behind(m).compareTo(m.behindBefore) > 0;
+        m.behindBefore = behind(m);
         // Guards against starving a member that is slow by itself: fewer out would not make it quicker. Its
         // lowest slowness of late, which rises only slowly, says how much of it is not crowding.
         m.floor = Math.min(m.floor * 1.005, ratio(m, now));
         double most = Math.min(Math.max(1, 1.4 * m.floor), 0.6 * ms(t.type.slaTime()) / target(m, t.type));
-        if (ratio(m, now) > (behind ? 0.75 : 1) * most) {
+        if (ratio(m, now) > most || behind && growing) {
             m.limit = Math.max(1, m.limit - 0.25);
-        } else if (m.out.size() + 1 >= m.limit - 1) {
+        } else if (!behind && m.out.size() + 1 >= m.limit - 1) {
             m.limit += 1 / m.limit;
         }
         if (m == t.group.primary && !t.type.update()) {
--- a/src/main/java/wingroad/state/Member.java
+++ b/src/main/java/wingroad/state/Member.java
@@ -27,6 +27,8 @@
     /** How far behind it was when that position was heard, and when. */
     public Duration behind;
     public Duration positionHeard;
+    /** How far behind it was when it was last measured. */
+    public Duration behindBefore = Duration.ZERO;
 
     public final LinkedHashSet<Submission> out = new LinkedHashSet<>();
     /** The last sign of life on the txn path, or when it got its first outstanding work. */
