--- a/src/main/java/wingroad/routing/TxnRouter.java
+++ b/src/main/java/wingroad/routing/TxnRouter.java
@@ -381,8 +381,8 @@
         g.claimAt = at;
         log.accept("group " + g.id + " primary " + m.id + (g.searching ? " found after "
             + (long) ms(now.minus(g.searchSince)) + " ms, held " + g.writes.size() : " by claim"));
-        // The fast probes follow a change: the same primary found again, or found at the first asking of a fresh
-        // driver, leaves nothing to settle.
+        // The fast probes follow a change: the same primary found again, or found at a fresh driver's first
+        // asking, leaves nothing to settle.
         if (old != null && old != m || g.searchRounds > 1) {
             g.watchUntil = now.plus(WATCH_SPAN);
         }
@@ -780,9 +780,9 @@
         }
         m.answers.add(now, 1);
         m.slowness.add(now, ms(time) / target(m, t.type));
-        // Guards against replicas that fall behind because they are crowded, stand idle at the bound's edge until
-        // they have caught up, and are crowded again: the log is applied with what the reads leave, so a lag well
-        // inside the bound that grows lowers the limit, and one that does not keeps it from rising.
+        // Guards against replicas that fall behind because they are crowded, stand idle at the bound's edge
+        // until they have caught up, and are crowded again: the log is applied with what the reads leave, so
+        // a lag well inside the bound lowers the limit while it grows, and else keeps it from rising.
         // Where answers are quick the lag has another cause, and sending less would not mend it.
         boolean behind = m != m.group.primary && behind(m).compareTo(bound.dividedBy(4)) > 0
             && ratio(m, now) > 0.75;
