--- a/src/main/java/wingroad/routing/TxnRouter.java
+++ b/src/main/java/wingroad/routing/TxnRouter.java
@@ -489,7 +489,6 @@
         if (g.reads.isEmpty()) {
             return;
         }
-        wake(g, now.plus(Duration.ofMillis(50)));
         // Newest first: under overload those that waited long are late anyway. Tries that come again, or too
         // late to be worth anything, get what the others leave.
         for (int pass = 0; pass < 2; pass++) {
@@ -653,7 +652,6 @@
             m.quietSince = now;
         }
         m.out.add(s);
-        m.lastSent = now;
         m.sent.add(now, calm(t.type));
         ready.add(Decision.submit(t.id, m.id, s.number, null));
         alarm(min(endAt(t), now.plus(millis(2 * usual(t.type, now)))), t);
@@ -795,9 +793,9 @@
         m.floor = Math.min(m.floor * 1.005, ratio(m, now));
         double most = Math.min(Math.max(1, 1.4 * m.floor), 0.6 * ms(t.type.slaTime()) / target(m, t.type));
         if (ratio(m, now) > most || behind && growing) {
-            m.limit = m.limit > 1.25 ? m.limit - 0.25 : Math.max(1 / Math.max(1, number("drivers")), m.limit * 0.85);
+            m.limit = Math.max(1, m.limit - 0.25);
         } else if (!behind && m.out.size() + 1 >= m.limit - 1) {
-            m.limit += m.limit < 1 ? 0.1 : 1 / m.limit;
+            m.limit += 1 / m.limit;
         }
         if (m == t.group.primary && !t.type.update()) {
             t.group.spillShare = ratio(m, now) > 1 ? Math.max(SPILL_SHARE, t.group.spillShare * 0.8)
@@ -906,14 +904,7 @@
             return 1;
         }
         double warm = warmth(m, now);
-        if (warm < 1 && !coldBudget(m, warm, now)) {
-            return 0;
-        }
-        // Guards against many drivers that crowd a member with one submission each: a limit under one is one at
-        // a time with a pause after it.
-        boolean pause = m.limit < 1 && m.lastSent != null
-            && ms(now.minus(m.lastSent)) < usual(types[0], now) / m.limit;
-        return pause ? 0 : Math.max(1, m.limit);
+        return warm >= 1 || coldBudget(m, warm, now) ? m.limit : 0;
     }
 
     /**
--- a/src/main/java/wingroad/state/Member.java
+++ b/src/main/java/wingroad/state/Member.java
@@ -43,7 +43,6 @@
     public final DecayingSum slowness;
     /** Work submitted to it, in usual answer times, over about the fail-back rule's window. */
     public final DecayingSum sent;
-    public Duration lastSent;
     public int failures;
     public Duration shunnedUntil = Duration.ZERO;
     /** Since when it has been out of reach, or null. */
