--- a/src/main/java/wingroad/routing/TxnRouter.java
+++ b/src/main/java/wingroad/routing/TxnRouter.java
@@ -793,7 +793,7 @@
         m.floor = Math.min(m.floor * 1.005, ratio(m, now));
         double most = Math.min(Math.max(1, 1.4 * m.floor), 0.6 * ms(t.type.slaTime()) / target(m, t.type));
         if (ratio(m, now) > most || behind && growing) {
-            m.limit = Math.max(1, m.limit * 0.85);
+            m.limit = Math.max(1, m.limit * 0.75);
         } else if (!behind && m.out.size() + 1 >= m.limit - 1) {
             m.limit += 1 / m.limit;
         }
