--- a/src/main/java/wingroad/routing/TxnRouter.java
+++ b/src/main/java/wingroad/routing/TxnRouter.java
@@ -791,7 +791,7 @@
         // Guards against starving a member that is slow by itself: fewer out would not make it quicker. Its
         // lowest slowness of late, which rises only slowly, says how much of it is not crowding.
         m.floor = Math.min(m.floor * 1.005, ratio(m, now));
-        double most = Math.min(Math.max(1, 1.4 * m.floor), 0.6 * ms(t.type.slaTime()) / target(m, t.type));
+        double most = Math.min(Math.max(1, 1.2 * m.floor), 0.6 * ms(t.type.slaTime()) / target(m, t.type));
         if (ratio(m, now) > most || behind && growing) {
             m.limit = Math.max(1, m.limit * 0.75);
         } else if (!behind && m.out.size() + 1 >= m.limit - 1) {
