--- a/src/main/java/wingroad/routing/TxnRouter.java
+++ b/src/main/java/wingroad/routing/TxnRouter.java
@@ -726,7 +726,8 @@
         boolean harmless = t.type.repeat() == Repeat.REPEATABLE || !t.mayHaveRun()
             || t.type.repeat() == Repeat.REFERENCED && t.type.anyMemberDropsRepeats();
         if (harmless) {
-            Duration comeBack = flag("may-advise-come-back") ? time("longest-come-back") : null;
+            // A client whose SLA time is not over may come back at once; one that is too late better stays away.
+            Duration comeBack = flag("may-advise-come-back") && late(t, now) ? time("longest-come-back") : null;
             ready.add(Decision.decline(t.id, comeBack));
         } else {
             ready.add(Decision.rollBack(t.id));
@@ -744,7 +745,11 @@
     private Duration giveUpAt(Txn t, Duration now) {
         Duration useful = t.type.lateShare() > 0 ? t.expiresAt : min(t.aimAt, t.expiresAt);
         double answer = Math.max(calm(t.type), usual(t.type, now));
-        return min(endAt(t), max(t.arrivedAt.plus(step), useful.minus(millis(answer))));
+        Duration last = useful.minus(millis(answer));
+        if (t.type.lateShare() == 0) {
+            last = min(last, t.arrivedAt.plus(t.type.slaTime().minus(millis(answer)).dividedBy(2)));
+        }
+        return min(endAt(t), max(t.arrivedAt.plus(step), last));
     }
 
     private Duration endAt(Txn t) {
@@ -791,7 +796,7 @@
         // Guards against starving a member that is slow by itself: fewer out would not make it quicker. Its
         // lowest slowness of late, which rises only slowly, says how much of it is not crowding.
         m.floor = Math.min(m.floor * 1.005, ratio(m, now));
-        double most = Math.min(Math.max(1, 1.2 * m.floor), 0.6 * ms(t.type.slaTime()) / target(m, t.type));
+        double most = Math.min(Math.max(1, 1.4 * m.floor), 0.6 * ms(t.type.slaTime()) / target(m, t.type));
         if (ratio(m, now) > most || behind && growing) {
             m.limit = Math.max(1, m.limit * 0.75);
         } else if (!behind && m.out.size() + 1 >= m.limit - 1) {
