--- a/src/main/java/wingroad/routing/TxnRouter.java
+++ b/src/main/java/wingroad/routing/TxnRouter.java
@@ -198,6 +198,9 @@
         longestTry[type] = max(longestTry[type], left);
         if (left.plus(step).compareTo(longestTry[type]) < 0) {
             t.aimAt = t.aimAt.minus(max(Duration.ZERO, t.type.expiry().minus(left)));
+        } else if (retry && t.type.lateShare() == 0) {
+            // Else a marked retry is taken to come from a read that was given up at the usual time.
+            t.aimAt = t.aimAt.minus(slack(t.type, now).dividedBy(2));
         }
         if (t.type.freshness() == Freshness.OWN_WRITES) {
             t.mustReflect = "client".equals(terms.get("session-marks"))
@@ -499,7 +502,7 @@
                     i.remove();
                     continue;
                 }
-                boolean last = t.retry || late(t, now);
+                boolean last = late(t, now);
                 if (last != (pass == 1) || !mayGoAgain(t, now)) {
                     continue;
                 }
@@ -744,14 +747,19 @@
     /** When a held txn is given up: what it waits for could no longer be of use by then. */
     private Duration giveUpAt(Txn t, Duration now) {
         Duration useful = t.type.lateShare() > 0 ? t.expiresAt : min(t.aimAt, t.expiresAt);
-        double answer = Math.max(calm(t.type), usual(t.type, now));
-        Duration last = useful.minus(millis(answer));
+        Duration last = useful.minus(t.type.slaTime().minus(slack(t.type, now)));
         if (t.type.lateShare() == 0) {
-            last = min(last, t.arrivedAt.plus(t.type.slaTime().minus(millis(answer)).dividedBy(3)));
+            // Half of it: a client that asks again may then still be served in time.
+            last = min(last, t.arrivedAt.plus(slack(t.type, now).dividedBy(2)));
         }
         return min(endAt(t), max(t.arrivedAt.plus(step), last));
     }
 
+    /** What the SLA time leaves beside a present answer time. */
+    private Duration slack(TxnType type, Duration now) {
+        return type.slaTime().minus(millis(Math.max(took[type.index()].calm, usual(type, now))));
+    }
+
     private Duration endAt(Txn t) {
         return t.expiresAt.minus(step);
     }
