--- a/src/main/java/wingroad/routing/TxnRouter.java
+++ b/src/main/java/wingroad/routing/TxnRouter.java
@@ -806,9 +806,9 @@
         // lowest slowness of late, which rises only slowly, says how much of it is not crowding.
         m.floor = Math.min(m.floor * 1.005, ratio(m, now));
         double most = Math.min(Math.max(1, 1.4 * m.floor), 0.6 * ms(t.type.slaTime()) / target(m, t.type));
-        // A limit that is not half used has not made its member slow.
+        // The mean of a few answers is no ground for a fall: one long txn would do it.
         if (ratio(m, now) > most || behind && growing) {
-            m.limit = 2 * m.out.size() + 2 < m.limit ? m.limit : Math.max(1, m.limit * 0.75);
+            m.limit = m.answers.read(now) < 3 ? m.limit : Math.max(1, m.limit * 0.75);
         } else if (!behind && m.out.size() + 1 >= m.limit - 1) {
             m.limit += 1 / m.limit;
         }
