--- a/src/main/java/wingroad/routing/TxnRouter.java
+++ b/src/main/java/wingroad/routing/TxnRouter.java
@@ -729,7 +729,7 @@
         boolean harmless = t.type.repeat() == Repeat.REPEATABLE || !t.mayHaveRun()
             || t.type.repeat() == Repeat.REFERENCED && t.type.anyMemberDropsRepeats();
         if (harmless) {
-            // A client that can still be in time may come back at once; one that is too late better stays away.
+            // A client that can still be in time may come back at once; one that is too late better waits.
             boolean away = flag("may-advise-come-back") && late(t, now);
             Duration comeBack = away ? time("longest-come-back") : null;
             ready.add(Decision.decline(t.id, comeBack));
@@ -806,9 +806,8 @@
         // lowest slowness of late, which rises only slowly, says how much of it is not crowding.
         m.floor = Math.min(m.floor * 1.005, ratio(m, now));
         double most = Math.min(Math.max(1, 1.4 * m.floor), 0.6 * ms(t.type.slaTime()) / target(m, t.type));
-        // The mean of a few answers is no ground for a fall: one long txn would do it.
         if (ratio(m, now) > most || behind && growing) {
-            m.limit = m.answers.read(now) < 3 ? m.limit : Math.max(1, m.limit * 0.75);
+            m.limit = Math.max(1, m.limit * 0.75);
         } else if (!behind && m.out.size() + 1 >= m.limit - 1) {
             m.limit += 1 / m.limit;
         }
