--- a/src/main/java/wingroad/routing/TxnRouter.java
+++ b/src/main/java/wingroad/routing/TxnRouter.java
@@ -935,7 +935,7 @@
             }
         }
         double least = 2 * calm(types[0]);
-        double most = n == 0 ? 0 : warm * number("fall-multiple") * 0.75 * peers / n;
+        double most = n == 0 ? 0 : warm * number("fall-multiple") * peers / n;
         return m.sent.read(now) < Math.max(least, most);
     }
 
