--- a/src/main/java/wingroad/routing/TxnRouter.java
+++ b/src/main/java/wingroad/routing/TxnRouter.java
@@ -807,7 +807,7 @@
         m.floor = Math.min(m.floor * 1.005, ratio(m, now));
         double most = Math.min(Math.max(1, 1.4 * m.floor), 0.6 * ms(t.type.slaTime()) / target(m, t.type));
         if (ratio(m, now) > most || behind && growing) {
-            m.limit = Math.max(1, m.limit * 0.75);
+            m.limit = Math.max(1, m.limit * Math.max(0.5, Math.min(0.9, most / ratio(m, now))));
         } else if (!behind && m.out.size() + 1 >= m.limit - 1) {
             m.limit += 1 / m.limit;
         }
@@ -935,7 +935,7 @@
             }
         }
         double least = 2 * calm(types[0]);
-        double most = n == 0 ? 0 : warm * number("fall-multiple") * peers / n;
+        double most = n == 0 ? 0 : warm * number("fall-multiple") * 0.75 * peers / n;
         return m.sent.read(now) < Math.max(least, most);
     }
 
