--- a/src/main/java/wingroad/routing/TxnRouter.java
+++ b/src/main/java/wingroad/routing/TxnRouter.java
@@ -802,12 +802,8 @@
             && ratio(m, now) > 0.75;
         boolean growing = behind(m).compareTo(m.behindBefore) > 0;
         m.behindBefore = behind(m);
-        // Guards against starving a member that is slow by itself: fewer out would not make it quicker. Its
-        // lowest slowness of late, which rises only slowly, says how much of it is not crowding.
-        m.floor = Math.min(m.floor * 1.005, ratio(m, now));
-        double most = Math.min(Math.max(1, 1.4 * m.floor), 0.6 * ms(t.type.slaTime()) / target(m, t.type));
-        if (ratio(m, now) > most || behind && growing) {
-            m.limit = Math.max(1, m.limit * Math.max(0.5, Math.min(0.9, most / ratio(m, now))));
+        if (ratio(m, now) > 1 || behind && growing) {
+            m.limit = Math.max(1, m.limit * 0.75);
         } else if (!behind && m.out.size() + 1 >= m.limit - 1) {
             m.limit += 1 / m.limit;
         }
@@ -935,7 +931,7 @@
             }
         }
         double least = 2 * calm(types[0]);
-        double most = n == 0 ? 0 : warm * number("fall-multiple") * 0.75 * peers / n;
+        double most = n == 0 ? 0 : warm * number("fall-multiple") * peers / n;
         return m.sent.read(now) < Math.max(least, most);
     }
 
--- a/src/main/java/wingroad/state/Member.java
+++ b/src/main/java/wingroad/state/Member.java
@@ -36,8 +36,6 @@
     /** Mode: silent on work that it holds. */
     public boolean silent;
     public double limit;
-    /** The lowest slowness of late; rises slowly. */
-    public double floor = 0.6;
     /** Decaying answers and their summed slowness (took as a ratio of the target). */
     public final DecayingSum answers;
     public final DecayingSum slowness;
