--- a/src/main/java/wingroad/routing/TxnRouter.java
+++ b/src/main/java/wingroad/routing/TxnRouter.java
@@ -544,7 +544,7 @@
             }
             boolean room = m.out.size() < part * room(m, now);
             if (!ok) {
-                if (room && !missedAt(t, m) && (leastBehind == null
+                if (room && !missedAt(t, m) && !sureMiss(m, need, now) && (leastBehind == null
                     || behind(m).compareTo(behind(leastBehind)) < 0)) {
                     leastBehind = m;
                 }
