--- a/src/main/java/wingroad/routing/TxnRouter.java
+++ b/src/main/java/wingroad/routing/TxnRouter.java
@@ -157,11 +157,7 @@
     }
 
     private void tellStop(Member m, boolean stop, boolean gone, Duration now) {
-        if (stop && m.stopTold == null) {
-            m.stopTold = now;
-        } else if (!stop) {
-            m.stopTold = null;
-        }
+        m.stopTold = !stop ? null : m.stopTold == null ? now : m.stopTold;
         m.gone = gone;
     }
 
@@ -216,16 +212,8 @@
                                 boolean over, Role role, Duration position) {
         Member m = members.get(member);
         Txn t = txns.get(id);
-        Submission s = null;
-        for (Submission o : m.out) {
-            if (o.txn.id.equals(id) && o.number == number) {
-                s = o;
-                break;
-            }
-        }
-        if (s == null) {
-            return;
-        }
+        Submission s = m.out.stream().filter(o -> o.txn.id.equals(id) && o.number == number).findFirst()
+            .orElseThrow();
         m.out.remove(s);
         s.end = end;
         ended.add(now, 1);
@@ -270,21 +258,16 @@
         Member m = members.get(member);
         // A report is as old as it is: a primary's position is the time at which it was made, a replica's is
         // never later than that, so the position dates the role.
-        if (m != null && role != Role.UNKNOWN && position != null) {
+        if (role != Role.UNKNOWN && position != null) {
             heard(m, role, position, now);
         }
-        if (m != null) {
-            heardPosition(m, position, now);
-            touch(m.group);
-        }
+        heardPosition(m, position, now);
+        touch(m.group);
     }
 
     @Override
     public void probeEnded(Duration now, long member, boolean answered, Duration took) {
         Member m = members.get(member);
-        if (m == null) {
-            return;
-        }
         m.probeOut = false;
         if (!answered) {
             m.lostSince = m.lostSince == null ? now : m.lostSince;
@@ -454,12 +437,10 @@
             return;
         }
         Member p = g.primary;
+        // Guards against once-only writes lost to a primary that takes work and answers none.
         if (p == null) {
             search(g, now, "no primary known");
-            return;
-        }
-        // Guards against once-only writes lost to a primary that takes work and answers none.
-        if (!g.searching && quiet(p, now)) {
+        } else if (quiet(p, now)) {
             search(g, now, "primary silent " + p.id + " holding " + p.out.size());
         }
         if (g.searching) {
@@ -587,11 +568,11 @@
             t.spillCounted = true;
             g.spillCredit = Math.min(2, g.spillCredit + g.spillShare);
         }
-        if (g.spillCredit >= 1) {
-            g.spillCredit -= 1;
-            return p;
+        if (g.spillCredit < 1) {
+            return null;
         }
-        return null;
+        g.spillCredit -= 1;
+        return p;
     }
 
     /** It was heard lately to be further behind than it would wait for. */
@@ -706,14 +687,12 @@
             || t.submissions.size() >= number("most-submissions") || !budget(now)) {
             return;
         }
-        if (flag("second-copies")) {
-            if (t.out() < 2) {
-                t.held = true;
-                g.reads.add(t);
-                touch(g);
-            }
-        } else {
+        if (!flag("second-copies")) {
             cancel(s);
+        } else if (t.out() < 2) {
+            t.held = true;
+            g.reads.add(t);
+            touch(g);
         }
     }
 
--- a/src/test/java/wingroad/routing/TxnRouterTest.java
+++ b/src/test/java/wingroad/routing/TxnRouterTest.java
@@ -302,6 +302,36 @@
         assertThat(further).isLessThan(10);
     }
 
+    @Test
+    void aReadThatNothingCanTakeIsDeclinedWhileARetryCanStillBeInTime() {
+        // Guards against retries that come too late to be worth anything and are served all the same.
+        Given g = new Given().with("may-advise-come-back", true).with("longest-come-back", at(500)).group(1);
+        g.txn(10, "r", READ, 2000);
+        List<Decision> declined = of(Kind.DECLINE, g.until(400));
+        assertThat(declined).extracting(Decision::txn).containsExactly("r");
+        assertThat(declined.get(0).when()).isNull();
+    }
+
+    @Test
+    void aSureMissIsNotTried() {
+        // Guards against wasting a submission on a replica that was just heard to be far behind.
+        Given g = new Given().with("members-check", "hold").with("members-hold-for", at(20)).group(1, 2);
+        g.says(3000, 2, Role.REPLICA, 1000);
+        g.txn(3001, "r", READ, 2000);
+        assertThat(of(Kind.SUBMIT, g.decisions(3001))).isEmpty();
+    }
+
+    @Test
+    void referencedHeldByAFormerPrimaryMovesToTheNewOne() {
+        Given g = new Given().type(WRITE, "referenced", "update", 600, 9000).group(1, 2).roles(5, 2);
+        g.txn(10, "a", WRITE, 9000);
+        g.decisions(10);
+        g.says(500, 2, Role.PRIMARY, 499);
+        assertThat(of(Kind.CANCEL, g.decisions(500))).extracting(Decision::txn).containsExactly("a");
+        g.ends(505, "a", 0, 1, End.CANCELLED, Role.UNKNOWN);
+        assertThat(of(Kind.SUBMIT, g.decisions(505))).extracting(Decision::member).containsExactly(2L);
+    }
+
     @Test
     void aLapsedTxnGetsNoAnswer() {
         Given g = new Given().group(1, 2);
