--- a/src/test/java/wingroad/routing/TxnRouterTest.java
+++ b/src/test/java/wingroad/routing/TxnRouterTest.java
@@ -316,6 +316,7 @@
     void aSureMissIsNotTried() {
         // Guards against wasting a submission on a replica that was just heard to be far behind.
         Given g = new Given().with("members-check", "hold").with("members-hold-for", at(20)).group(1, 2);
+        g.says(3000, 1, Role.REPLICA, 1000);
         g.says(3000, 2, Role.REPLICA, 1000);
         g.txn(3001, "r", READ, 2000);
         assertThat(of(Kind.SUBMIT, g.decisions(3001))).isEmpty();
