--- a/src/main/java/wingroad/routing/TxnRouter.java
+++ b/src/main/java/wingroad/routing/TxnRouter.java
@@ -795,7 +795,7 @@
     /** What an answer may take of a member that is used but not crowded. */
     private double target(Member m, TxnType type) {
         double calm = kind(m)[type.index()].calm;
-        return Math.cbrt(calm * calm * ms(type.slaTime()));
+        return Math.sqrt(calm * ms(type.slaTime()));
     }
 
     private Took[] kind(Member m) {
