--- a/src/main/java/wingroad/routing/TxnRouter.java
+++ b/src/main/java/wingroad/routing/TxnRouter.java
@@ -781,7 +781,7 @@
             && ratio(m, now) > 0.75;
         boolean growing = behind(m).compareTo(m.behindBefore) > 0;
         m.behindBefore = behind(m);
-        if (ratio(m, now) > 0.9 || behind && growing) {
+        if (ratio(m, now) > 1 || behind && growing) {
             m.limit = Math.max(1, m.limit * 0.75);
         } else if (!behind && m.out.size() + 1 >= m.limit - 1) {
             m.limit += 1 / m.limit;
