--- a/src/main/java/wingroad/routing/TxnRouter.java
+++ b/src/main/java/wingroad/routing/TxnRouter.java
@@ -621,8 +621,7 @@
     }
 
     private double cost(Member m, Duration now) {
-        double slow = Math.min(4, Math.max(0.5, ratio(m, now)))
-            * (1 + m.faults.read(now) / (1 + m.answers.read(now)));
+        double slow = Math.min(4, Math.max(0.5, ratio(m, now)));
         double away = m.zone != (int) number("zone") && number("price.cross-zone") > 0 ? 0.25 : 0;
         return (m.out.size() + 0.5) / room(m, now) * slow + away + random.nextDouble() * 0.02;
     }
@@ -874,7 +873,6 @@
 
     private void fault(Member m, Duration now, End end) {
         m.failures++;
-        m.faults.add(now, 1);
         if (m.lostSince == null && (end == End.UNREACHABLE || end == End.RESET)) {
             m.lostSince = now;
         }
--- a/src/main/java/wingroad/state/Member.java
+++ b/src/main/java/wingroad/state/Member.java
@@ -45,8 +45,6 @@
     public Duration shunnedUntil = Duration.ZERO;
     /** Since when it has been out of reach, or null. */
     public Duration lostSince;
-    /** Decaying faults, over the same span as the answers. */
-    public final DecayingSum faults;
 
     public boolean probeOut;
     public Duration probedAt;
@@ -56,6 +54,5 @@
         this.id = id;
         this.answers = new DecayingSum(memory);
         this.slowness = new DecayingSum(memory);
-        this.faults = new DecayingSum(memory);
     }
 }
