--- a/src/main/java/wingroad/routing/TxnRouter.java
+++ b/src/main/java/wingroad/routing/TxnRouter.java
@@ -17,6 +17,7 @@
 import java.util.function.Consumer;
 import wingroad.state.DecayingSum;
 import wingroad.state.Group;
+import wingroad.state.Load;
 import wingroad.state.Member;
 import wingroad.state.Member.Role;
 import wingroad.state.Submission;
@@ -50,6 +51,7 @@
     /** How long each txn type takes, over all members and by their kind. */
     private final Took[] took;
     private final Map<Integer, Took[]> tookByKind = new HashMap<>();
+    private final Map<Integer, Load> sentToKind = new LinkedHashMap<>();
     private final DecayingSum firsts;
     private final DecayingSum furthers;
     private final DecayingSum ended;
@@ -131,7 +133,7 @@
     @Override
     public void listed(Duration now, long id, int group, int zone, int kind, double weight, boolean primary,
                        boolean draining, boolean gone, Duration startedAt) {
-        Member m = members.computeIfAbsent(id, i -> new Member(i, memory, time("fall")));
+        Member m = members.computeIfAbsent(id, i -> new Member(i, memory));
         if (m.group == null) {
             m.group = groups.computeIfAbsent(group, Group::new);
             m.group.spillShare = SPILL_SHARE;
@@ -140,9 +142,11 @@
         }
         m.zone = zone;
         m.kind = kind;
+        sentToKind.computeIfAbsent(kind, k -> new Load(memory.multipliedBy(4)));
         m.seenDraining |= draining;
         if (startedAt != null && (m.startedAt == null || startedAt.compareTo(m.startedAt) > 0)) {
             m.startedAt = startedAt;
+            m.creditAt = null;
             m.limit = Math.max(1, FIRST_LIMIT * warmth(m, now));
         }
         tellStop(m, draining || gone, gone, now);
@@ -171,6 +175,12 @@
                 }
             }
         }
+        sentToKind.values().forEach(l -> l.members = 0);
+        for (Member m : members.values()) {
+            if (m.listed) {
+                sentToKind.get(m.kind).members++;
+            }
+        }
         listFailures = 0;
         if (ask) {
             askListAt(listAt == null ? now : now.plus(time("ask-within").dividedBy(2)));
@@ -635,7 +645,8 @@
             m.quietSince = now;
         }
         m.out.add(s);
-        m.sent.add(now, calm(t.type));
+        sentToKind.get(m.kind).sent.add(now, calm(t.type));
+        m.credit -= calm(t.type);
         ready.add(Decision.submit(t.id, m.id, s.number, null));
         alarm(min(endAt(t), now.plus(millis(2 * usual(t.type, now)))), t);
     }
@@ -866,6 +877,7 @@
             // connection alone is no restart: it must have been out of reach for a while.
             if (m.lostSince != null && now.minus(m.lostSince).compareTo(memory) > 0) {
                 m.startedAt = now;
+                m.creditAt = null;
             }
             m.lostSince = null;
         }
@@ -887,29 +899,31 @@
 
     /** How many submissions the member may hold of this driver. */
     private double room(Member m, Duration now) {
-        if (m.failures > 1 || m.failures > 0 && now.compareTo(m.shunnedUntil) < 0) {
-            return 1;
+        if (warmth(m, now) < 1 && coldCredit(m, now) < calm(types[0])) {
+            return 0;
         }
-        double warm = warmth(m, now);
-        return warm >= 1 || coldBudget(m, warm, now) ? m.limit : 0;
+        return m.failures > 1 || m.failures > 0 && now.compareTo(m.shunnedUntil) < 0 ? 1 : m.limit;
     }
 
     /**
-     * Guards against pushing a cold member over, by quick misses and refusals too: what this driver sends it
-     * stays, over the rule's window, under the rule's multiple of the cold part of what its warm peers get.
+     * Guards against pushing a cold member over, by quick misses and refusals too: work for it is saved up at
+     * the rate that members of its kind get from this driver, times its warm part and half the rule's multiple.
+     * Such a rate adds up over any number of drivers, and first sends are spread by chance; what each may send
+     * at once would not. With no rate known, one submission a cold time keeps its group from starving.
      */
-    private boolean coldBudget(Member m, double warm, Duration now) {
-        double peers = 0;
-        int n = 0;
-        for (Member o : members.values()) {
-            if (o != m && o.listed && o.kind == m.kind && o.failures == 0 && warmth(o, now) >= 1) {
-                peers += o.sent.read(now);
-                n++;
-            }
+    private double coldCredit(Member m, Duration now) {
+        double calm = calm(types[0]);
+        Load load = sentToKind.get(m.kind);
+        double rate = Math.max(calm / ms(cold), warmth(m, now) * number("fall-multiple") / 2
+            * load.sent.read(now) * Math.log(2) / ms(load.span) / Math.max(1, load.members));
+        if (m.creditAt == null) {
+            m.credit = random.nextDouble() * calm;
+        } else {
+            double most = calm + rate * ms(time("fall")) / 4;
+            m.credit = Math.min(Math.max(most, m.credit), m.credit + rate * ms(now.minus(m.creditAt)));
         }
-        double least = 2 * calm(types[0]);
-        double most = n == 0 ? 0 : warm * number("fall-multiple") * peers / n;
-        return m.sent.read(now) < Math.max(least, most);
+        m.creditAt = now;
+        return m.credit;
     }
 
     private double warmth(Member m, Duration now) {
--- a/src/main/java/wingroad/state/Member.java
+++ b/src/main/java/wingroad/state/Member.java
@@ -39,8 +39,9 @@
     /** Decaying answers and their summed slowness (took as a ratio of the target). */
     public final DecayingSum answers;
     public final DecayingSum slowness;
-    /** Work submitted to it, in usual answer times, over about the fail-back rule's window. */
-    public final DecayingSum sent;
+    /** While it is cold: work saved up for it, in calm answer times, and when; null since a start. */
+    public double credit;
+    public Duration creditAt;
     public int failures;
     public Duration shunnedUntil = Duration.ZERO;
     /** Since when it has been out of reach, or null. */
@@ -49,8 +50,7 @@
     public boolean probeOut;
     public Duration probedAt;
 
-    public Member(long id, Duration memory, Duration window) {
-        this.sent = new DecayingSum(window);
+    public Member(long id, Duration memory) {
         this.id = id;
         this.answers = new DecayingSum(memory);
         this.slowness = new DecayingSum(memory);
