--- a/src/main/java/wingroad/routing/TxnRouter.java
+++ b/src/main/java/wingroad/routing/TxnRouter.java
@@ -36,6 +36,8 @@
     private static final Duration WATCH_SPAN = Duration.ofSeconds(30);
     private static final Duration SEARCH_PAUSE = Duration.ofMillis(100);
     private static final double SPILL_SHARE = 0.1;
+    /** Reads that may be sent to a group, as a multiple of those answered in time of late. */
+    private static final double IN_TIME_MULTIPLE = 1.25;
     /** Work that a member may leave unanswered, in usual answer times, before it counts as silent. */
     private static final double PATIENCE = 4;
     /** How many submissions a member gets at once before its answers have set its limit. */
@@ -135,7 +137,7 @@
                        boolean draining, boolean gone, Duration startedAt) {
         Member m = members.computeIfAbsent(id, i -> new Member(i, memory));
         if (m.group == null) {
-            m.group = groups.computeIfAbsent(group, Group::new);
+            m.group = groups.computeIfAbsent(group, i -> new Group(i, memory.multipliedBy(4)));
             m.group.spillShare = SPILL_SHARE;
             m.group.members.add(m);
             m.limit = FIRST_LIMIT;
@@ -197,7 +199,7 @@
     @Override
     public void txnArrived(Duration now, String id, int type, int group, Duration left, long session,
                            Duration sinceWrite, boolean retry) {
-        Group g = groups.computeIfAbsent(group, Group::new);
+        Group g = groups.computeIfAbsent(group, i -> new Group(i, memory.multipliedBy(4)));
         Txn t = new Txn(id, types[type], g, now, now.plus(left), session, retry);
         // The SLA time runs from the client's first try. A try with less time than others of its type get is
         // a later one: what its client has left of the expiry tells how long ago the first was.
@@ -230,6 +232,9 @@
         if (end == End.COMMITTED) {
             committed.add(now, 1);
             measure(m, s.txn, took, now);
+            if (!s.txn.type.update() && took.compareTo(s.txn.type.slaTime()) <= 0) {
+                m.group.readsInTime.add(now, 1);
+            }
             if (s.txn.type.update() && s.txn.session >= 0 && position != null
                 && "router".equals(terms.get("session-marks"))) {
                 sessionWrites.merge(s.txn.session, position, TxnRouter::max);
@@ -498,6 +503,11 @@
                     continue;
                 }
                 looked++;
+                // Guards against many drivers that each keep little out and together crowd a whole group: what
+                // is sent to it follows what of late was answered in time. Also meets members that all slow down.
+                if (t.submissions.isEmpty() && g.readsSent.read(now) > 1 + IN_TIME_MULTIPLE * g.readsInTime.read(now)) {
+                    continue;
+                }
                 Member m = choose(g, t, last ? 0.5 : 1, now);
                 if (m != null) {
                     i.remove();
@@ -647,6 +657,9 @@
         m.out.add(s);
         sentToKind.get(m.kind).sent.add(now, calm(t.type));
         m.credit -= calm(t.type);
+        if (!t.type.update()) {
+            m.group.readsSent.add(now, 1);
+        }
         ready.add(Decision.submit(t.id, m.id, s.number, null));
         alarm(min(endAt(t), now.plus(millis(2 * usual(t.type, now)))), t);
     }
--- a/src/main/java/wingroad/state/Group.java
+++ b/src/main/java/wingroad/state/Group.java
@@ -27,8 +27,13 @@
     /** When this group asked to be looked at again, or null. */
     public Duration wakeAsked;
     public boolean dirty;
+    /** Reads submitted to its members, and those of them that were answered in time. */
+    public final DecayingSum readsSent;
+    public final DecayingSum readsInTime;
 
-    public Group(int id) {
+    public Group(int id, Duration span) {
         this.id = id;
+        this.readsSent = new DecayingSum(span);
+        this.readsInTime = new DecayingSum(span);
     }
 }
--- a/src/test/java/wingroad/routing/TxnRouterTest.java
+++ b/src/test/java/wingroad/routing/TxnRouterTest.java
@@ -344,4 +344,22 @@
         g.router.txnLapsed(at(20), "w");
         assertThat(g.until(2000)).noneMatch(d -> "w".equals(d.txn()));
     }
+
+    @Test
+    void readsSentToACrowdedGroupFollowThoseAnsweredInTime() {
+        // Guards against many drivers that each keep little out and together crowd a group.
+        Given g = new Given().group(1, 2, 3).roles(5, 2, 3);
+        int sent = 0;
+        for (int i = 10; i < 8000; i += 100) {
+            g.txn(i, "r" + i, READ, 2000);
+            g.says(i, 2, Role.REPLICA, i);
+            g.says(i, 3, Role.REPLICA, i);
+            for (Decision d : of(Kind.SUBMIT, g.decisions(i))) {
+                sent++;
+                g.router.submissionEnded(at(i), d.txn(), d.submission(), d.member(), End.COMMITTED, at(900), true,
+                    Role.REPLICA, at(i));
+            }
+        }
+        assertThat(sent).isBetween(2, 10);
+    }
 }
