--- a/src/main/java/wingroad/routing/TxnRouter.java
+++ b/src/main/java/wingroad/routing/TxnRouter.java
@@ -137,8 +137,7 @@
                        boolean draining, boolean gone, Duration startedAt) {
         Member m = members.computeIfAbsent(id, i -> new Member(i, memory));
         if (m.group == null) {
-            m.group = groups.computeIfAbsent(group, i -> new Group(i, memory.multipliedBy(4)));
-            m.group.spillShare = SPILL_SHARE;
+            m.group = groups.computeIfAbsent(group, i -> newGroup(i, now));
             m.group.members.add(m);
             m.limit = FIRST_LIMIT;
         }
@@ -162,6 +161,13 @@
         touch(m.group);
     }
 
+    private Group newGroup(int id, Duration now) {
+        Group g = new Group(id, memory.multipliedBy(4));
+        g.spillShare = SPILL_SHARE;
+        g.readsInTime.add(now, FIRST_LIMIT);
+        return g;
+    }
+
     private void tellStop(Member m, boolean stop, boolean gone, Duration now) {
         m.stopTold = !stop ? null : m.stopTold == null ? now : m.stopTold;
         m.gone = gone;
@@ -199,7 +205,7 @@
     @Override
     public void txnArrived(Duration now, String id, int type, int group, Duration left, long session,
                            Duration sinceWrite, boolean retry) {
-        Group g = groups.computeIfAbsent(group, i -> new Group(i, memory.multipliedBy(4)));
+        Group g = groups.computeIfAbsent(group, i -> newGroup(i, now));
         Txn t = new Txn(id, types[type], g, now, now.plus(left), session, retry);
         // The SLA time runs from the client's first try. A try with less time than others of its type get is
         // a later one: what its client has left of the expiry tells how long ago the first was.
@@ -503,9 +509,10 @@
                     continue;
                 }
                 looked++;
-                // Guards against many drivers that each keep little out and together crowd a whole group: what
-                // is sent to it follows what of late was answered in time. Also meets members that all slow down.
-                if (t.submissions.isEmpty() && g.readsSent.read(now) > 1 + IN_TIME_MULTIPLE * g.readsInTime.read(now)) {
+                // Guards against many drivers that each keep little out and together crowd a group: what is
+                // sent follows what of late was answered in time. Also meets members that all slow down.
+                if (t.submissions.isEmpty()
+                    && g.readsSent.read(now) > 1 + IN_TIME_MULTIPLE * g.readsInTime.read(now)) {
                     continue;
                 }
                 Member m = choose(g, t, last ? 0.5 : 1, now);
@@ -920,9 +927,9 @@
 
     /**
      * Guards against pushing a cold member over, by quick misses and refusals too: work for it is saved up at
-     * the rate that members of its kind get from this driver, times its warm part and half the rule's multiple.
-     * Such a rate adds up over any number of drivers, and first sends are spread by chance; what each may send
-     * at once would not. With no rate known, one submission a cold time keeps its group from starving.
+     * the rate that members of its kind get from this driver, times its warm part and half the rule's
+     * multiple. Such a rate adds up over any number of drivers, first sends are spread by chance; what each
+     * may send at once would not. With none known, one submission a cold time keeps a group from starving.
      */
     private double coldCredit(Member m, Duration now) {
         double calm = calm(types[0]);
