--- a/src/main/java/wingroad/routing/TxnRouter.java
+++ b/src/main/java/wingroad/routing/TxnRouter.java
@@ -3,6 +3,12 @@
 // input calls; after each, and at wakeAt(), pull next(now) until it is null. The reasons: docs/design.md.
 package wingroad.routing;
 
+import static wingroad.state.Spans.max;
+import static wingroad.state.Spans.millis;
+import static wingroad.state.Spans.min;
+import static wingroad.state.Spans.ms;
+import static wingroad.state.Spans.times;
+
 import java.time.Duration;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
@@ -20,6 +26,7 @@
 import wingroad.state.Load;
 import wingroad.state.Member;
 import wingroad.state.Member.Role;
+import wingroad.state.Spans;
 import wingroad.state.Submission;
 import wingroad.state.Submission.End;
 import wingroad.state.Took;
@@ -243,7 +250,7 @@
             }
             if (s.txn.type.update() && s.txn.session >= 0 && position != null
                 && "router".equals(terms.get("session-marks"))) {
-                sessionWrites.merge(s.txn.session, position, TxnRouter::max);
+                sessionWrites.merge(s.txn.session, position, Spans::max);
             }
         }
         if (end == End.COMMITTED || end == End.MISSED || end == End.ERROR || end == End.FULL) {
@@ -347,13 +354,13 @@
         if (p != null && !g.searching && mustStop(p, now, true)) {
             search(g, now, "primary told to stop " + p.id);
         }
+        placeWrites(g, now);
+        placeReads(g, now);
         if (g.searching) {
             searchOn(g, now);
-        } else if (p != null && (!g.writes.isEmpty() || g.nextProbe != null)) {
-            watch(g, p, now);
+        } else if (g.primary != null) {
+            watch(g, g.primary, now);
         }
-        placeWrites(g, now);
-        placeReads(g, now);
     }
 
     // ---- roles and the writer search ----
@@ -395,7 +402,6 @@
         }
         g.searching = false;
         g.searchRounds = 0;
-        g.nextProbe = now.plus(now.compareTo(g.watchUntil) < 0 ? WATCH_PROBE : STEADY_PROBE);
         if (old != null && old != m) {
             // What a former primary still holds of referenced txns goes to the new one.
             for (Submission s : old.out) {
@@ -419,7 +425,12 @@
     }
 
     private void searchOn(Group g, Duration now) {
-        if (now.compareTo(g.nextProbe) >= 0) {
+        g.writes.removeIf(t -> t.answered);
+        // Many drivers that search for nobody would load a group just as its new primary comes: after the first
+        // round it is asked at the steady rate until writes are held.
+        boolean idle = g.searchRounds > 0 && g.writes.isEmpty();
+        Duration due = idle ? g.nextProbe.plus(STEADY_PROBE) : g.nextProbe;
+        if (now.compareTo(due) >= 0) {
             for (Member m : g.members) {
                 probe(m, now);
             }
@@ -427,18 +438,21 @@
             g.searchRounds++;
             Duration most = max(SEARCH_PAUSE, time("connect-time-out"));
             g.nextProbe = now.plus(min(most, times(SEARCH_PAUSE, Math.pow(1.2, g.searchRounds - 1))));
+            due = g.nextProbe;
         }
-        wake(g, g.nextProbe);
+        wake(g, due);
     }
 
+    /** Fast after a change, but only while work of this driver is out there: else a probe guards nothing. */
     private void watch(Group g, Member p, Duration now) {
-        if (g.nextProbe == null || now.compareTo(g.nextProbe) >= 0) {
-            if (g.nextProbe != null) {
-                probe(p, now);
-            }
-            g.nextProbe = now.plus(now.compareTo(g.watchUntil) < 0 ? WATCH_PROBE : STEADY_PROBE);
+        boolean fast = now.compareTo(g.watchUntil) < 0 && !p.out.isEmpty();
+        Duration last = p.probedAt == null ? g.claimAt : p.probedAt;
+        Duration due = last == null ? now : last.plus(fast ? WATCH_PROBE : STEADY_PROBE);
+        if (now.compareTo(due) >= 0) {
+            probe(p, now);
+            due = now.plus(fast ? WATCH_PROBE : STEADY_PROBE);
         }
-        wake(g, g.nextProbe);
+        wake(g, due);
     }
 
     private boolean probe(Member m, Duration now) {
@@ -537,9 +551,8 @@
         double bestCost = 0;
         int replicas = 0;
         int fresh = 0;
-        boolean current = t.type.freshness() == Freshness.LATEST;
         for (Member m : g.members) {
-            if (m == g.primary || current || !m.listed || mustStop(m, now, false)) {
+            if (m == g.primary || !m.listed || mustStop(m, now, false)) {
                 continue;
             }
             replicas++;
@@ -567,7 +580,7 @@
                 }
             }
         }
-        if (fresh < 2 && need != null && !current) {
+        if (fresh < 2 && need != null) {
             refresh(g, t, now);
         }
         if (best != null) {
@@ -582,7 +595,7 @@
         }
         // Reads that need the primary leave a part of its room to the writes.
         double room = part * room(p, now);
-        if (current || replicas == 0) {
+        if (replicas == 0) {
             return p.out.size() < room ? p : null;
         }
         if (p.out.size() + 1 > room * 0.75) {
@@ -676,7 +689,7 @@
     private void hold(Txn t, Duration now) {
         if (!t.answered && !t.held) {
             t.held = true;
-            (t.type.update() ? t.group.writes : t.group.reads).add(t);
+            (t.type.toPrimary() ? t.group.writes : t.group.reads).add(t);
             touch(t.group);
             if (!t.submissions.isEmpty()) {
                 alarm(now, t);
@@ -721,7 +734,7 @@
             cancel(s);
         } else if (t.out() < 2) {
             t.held = true;
-            g.reads.add(t);
+            (t.type.toPrimary() ? g.writes : g.reads).add(t);
             touch(g);
         }
     }
@@ -1014,24 +1027,4 @@
     private boolean flag(String name) {
         return Boolean.TRUE.equals(terms.get(name));
     }
-
-    private static double ms(Duration d) {
-        return d.toNanos() / 1e6;
-    }
-
-    private static Duration millis(double ms) {
-        return Duration.ofNanos((long) (ms * 1e6));
-    }
-
-    private static Duration times(Duration d, double by) {
-        return Duration.ofNanos((long) (d.toNanos() * by));
-    }
-
-    private static Duration max(Duration a, Duration b) {
-        return a.compareTo(b) >= 0 ? a : b;
-    }
-
-    private static Duration min(Duration a, Duration b) {
-        return a.compareTo(b) <= 0 ? a : b;
-    }
 }
--- a/src/main/java/wingroad/state/TxnType.java
+++ b/src/main/java/wingroad/state/TxnType.java
@@ -16,4 +16,9 @@
     public boolean update() {
         return freshness == Freshness.UPDATE;
     }
+
+    /** Only the primary can serve it. */
+    public boolean toPrimary() {
+        return update() || freshness == Freshness.LATEST;
+    }
 }
--- a/src/test/java/wingroad/routing/TxnRouterTest.java
+++ b/src/test/java/wingroad/routing/TxnRouterTest.java
@@ -362,4 +362,27 @@
         }
         assertThat(sent).isBetween(10, 25);
     }
+
+    @Test
+    void aSearchAsksAgainOnlyWhileWritesAreHeld() {
+        // Guards a group against the probes of many drivers that wait for nothing, just as its primary comes.
+        Given g = new Given().group(1, 2).roles(5, 2);
+        g.says(100, 1, Role.REPLICA, 100);
+        assertThat(of(Kind.PROBE, g.decisions(100))).hasSize(2);
+        g.router.probeEnded(at(110), 1, true, at(1));
+        g.router.probeEnded(at(110), 2, true, at(1));
+        assertThat(of(Kind.PROBE, g.until(1000))).isEmpty();
+        g.txn(1001, "w", WRITE, 3000);
+        assertThat(of(Kind.PROBE, g.decisions(1001))).hasSize(2);
+    }
+
+    @Test
+    void fastProbesRunOnlyWhileWorkIsOutAtTheNewPrimary() {
+        // Guards against the sum of all drivers' probes after a change of primary.
+        Given g = new Given().group(1, 2).roles(5, 2);
+        g.says(100, 2, Role.PRIMARY, 100);
+        assertThat(of(Kind.PROBE, g.until(2000))).isEmpty();
+        g.txn(2001, "w", WRITE, 3000);
+        assertThat(of(Kind.PROBE, g.until(2001))).hasSize(1);
+    }
 }
