--- a/src/main/java/wingroad/routing/TxnRouter.java
+++ b/src/main/java/wingroad/routing/TxnRouter.java
@@ -86,7 +86,6 @@
     private boolean listWhole;
     private final List<Member> listNamed = new ArrayList<>();
     private int listFailures;
-    /** When the list is to be asked for next, or null before the first list. */
     private Duration listAt;
 
     public TxnRouter(Map<String, Object> terms, long seed, Consumer<String> log) {
@@ -190,12 +189,6 @@
                 }
             }
         }
-        sentToKind.values().forEach(l -> l.members = 0);
-        for (Member m : members.values()) {
-            if (m.listed) {
-                sentToKind.get(m.kind).members++;
-            }
-        }
         listFailures = 0;
         if (ask) {
             askListAt(listAt == null ? now : now.plus(time("ask-within").dividedBy(2)));
@@ -219,9 +212,6 @@
         longestTry[type] = max(longestTry[type], left);
         if (left.plus(step).compareTo(longestTry[type]) < 0) {
             t.aimAt = t.aimAt.minus(max(Duration.ZERO, t.type.expiry().minus(left)));
-        } else if (retry && t.type.lateShare() == 0) {
-            // Else a marked retry is taken to come from a read that was given up at the usual time.
-            t.aimAt = t.aimAt.minus(slack(t.type, now).dividedBy(2));
         }
         if (t.type.freshness() == Freshness.OWN_WRITES) {
             t.mustReflect = "client".equals(terms.get("session-marks"))
@@ -395,14 +385,11 @@
         g.claimAt = at;
         log.accept("group " + g.id + " primary " + m.id + (g.searching ? " found after "
             + (long) ms(now.minus(g.searchSince)) + " ms, held " + g.writes.size() : " by claim"));
-        // The fast probes follow a change: the same primary found again, or found at a fresh driver's first
-        // asking, leaves nothing to settle.
-        if (old != null && old != m || g.searchRounds > 1) {
-            g.watchUntil = now.plus(WATCH_SPAN);
-        }
         g.searching = false;
         g.searchRounds = 0;
+        // The same primary found again, or a fresh driver's first one, leaves nothing to settle.
         if (old != null && old != m) {
+            g.watchUntil = now.plus(WATCH_SPAN);
             // What a former primary still holds of referenced txns goes to the new one.
             for (Submission s : old.out) {
                 if (s.txn.type.repeat() == Repeat.REFERENCED && !s.txn.answered) {
@@ -523,12 +510,6 @@
                     continue;
                 }
                 looked++;
-                // Guards against many drivers that each keep little out and together crowd a group: what is
-                // sent follows what of late was answered in time. Also meets members that all slow down.
-                if (t.submissions.isEmpty()
-                    && g.readsSent.read(now) > 1 + IN_TIME_MULTIPLE * g.readsInTime.read(now)) {
-                    continue;
-                }
                 Member m = choose(g, t, last ? 0.5 : 1, now);
                 if (m != null) {
                     i.remove();
@@ -551,6 +532,10 @@
         double bestCost = 0;
         int replicas = 0;
         int fresh = 0;
+        // Guards against many drivers that each keep little out and together crowd a group: where limits can
+        // fall no further, what is sent follows what of late was answered in time.
+        boolean crowded = t.submissions.isEmpty()
+            && g.readsSent.read(now) > 1 + IN_TIME_MULTIPLE * g.readsInTime.read(now);
         for (Member m : g.members) {
             if (m == g.primary || !m.listed || mustStop(m, now, false)) {
                 continue;
@@ -563,7 +548,7 @@
             if (!ok && checked && m.behind != null) {
                 ok = now.minus(m.behind).compareTo(need) >= 0;
             }
-            boolean room = m.out.size() < part * room(m, now);
+            boolean room = m.out.size() < part * room(m, now) && !(crowded && m.limit < 2);
             if (!ok) {
                 if (room && !missedAt(t, m) && !sureMiss(m, need, now) && (leastBehind == null
                     || behind(m).compareTo(behind(leastBehind)) < 0)) {
@@ -825,7 +810,7 @@
         boolean growing = behind(m).compareTo(m.behindBefore) > 0;
         m.behindBefore = behind(m);
         if (ratio(m, now) > 1 || behind && growing) {
-            m.limit = Math.max(1, m.limit * 0.75);
+            m.limit = Math.max(1, Math.min(m.limit, m.out.size() + 1) * 0.75);
         } else if (!behind && m.out.size() + 1 >= m.limit - 1) {
             m.limit += 1 / m.limit;
         }
@@ -940,14 +925,19 @@
 
     /**
      * Guards against pushing a cold member over, by quick misses and refusals too: work for it is saved up at
-     * the rate that members of its kind get from this driver, times its warm part and half the rule's
-     * multiple. Such a rate adds up over any number of drivers, first sends are spread by chance; what each
+     * the rate that a warm member of its kind gets from this driver, times its warm part and three quarters of
+     * the rule's multiple. Such a rate adds up over any number of drivers, first sends are spread by chance; what each
      * may send at once would not. With none known, one submission a cold time keeps a group from starving.
      */
     private double coldCredit(Member m, Duration now) {
         double calm = calm(types[0]);
         Load load = sentToKind.get(m.kind);
-        double rate = Math.max(calm / ms(cold), warmth(m, now) * number("fall-multiple") / 2
+        if (load.countedAt == null || now.minus(load.countedAt).compareTo(time("fall")) > 0) {
+            load.countedAt = now;
+            load.members = members.values().stream().filter(o -> o.listed && o.kind == m.kind)
+                .mapToDouble(o -> warmth(o, now)).sum();
+        }
+        double rate = Math.max(calm / ms(cold), warmth(m, now) * number("fall-multiple") * 0.75
             * load.sent.read(now) * Math.log(2) / ms(load.span) / Math.max(1, load.members));
         if (m.creditAt == null) {
             m.credit = random.nextDouble() * calm;
