--- a/src/main/java/wingroad/routing/TxnRouter.java
+++ b/src/main/java/wingroad/routing/TxnRouter.java
@@ -413,8 +413,8 @@
 
     private void searchOn(Group g, Duration now) {
         g.writes.removeIf(t -> t.answered);
-        // Many drivers that search for nobody would load a group just as its new primary comes: after the first
-        // round it is asked at the steady rate until writes are held.
+        // Guards a group against the probes of many drivers that wait for nothing, just as its primary comes:
+        // after the first round it is asked at the steady rate until writes are held.
         boolean idle = g.searchRounds > 0 && g.writes.isEmpty();
         Duration due = idle ? g.nextProbe.plus(STEADY_PROBE) : g.nextProbe;
         if (now.compareTo(due) >= 0) {
@@ -443,7 +443,7 @@
     }
 
     private boolean probe(Member m, Duration now) {
-        if (m.probeOut || !m.listed || !flag("may-probe") || mustStop(m, now, true)) {
+        if (m.probeOut || !flag("may-probe") || mustStop(m, now, true)) {
             return false;
         }
         m.probeOut = true;
@@ -537,7 +537,7 @@
         boolean crowded = t.submissions.isEmpty()
             && g.readsSent.read(now) > 1 + IN_TIME_MULTIPLE * g.readsInTime.read(now);
         for (Member m : g.members) {
-            if (m == g.primary || !m.listed || mustStop(m, now, false)) {
+            if (m == g.primary || mustStop(m, now, false)) {
                 continue;
             }
             replicas++;
@@ -925,9 +925,9 @@
 
     /**
      * Guards against pushing a cold member over, by quick misses and refusals too: work for it is saved up at
-     * the rate that a warm member of its kind gets from this driver, times its warm part and three quarters of
-     * the rule's multiple. Such a rate adds up over any number of drivers, first sends are spread by chance; what each
-     * may send at once would not. With none known, one submission a cold time keeps a group from starving.
+     * the rate that a warm member of its kind gets from this driver, times its warm part and three quarters
+     * of the rule's multiple. Such a rate adds up over any number of drivers, first sends are spread by chance;
+     * what each may send at once would not. With none known, one a cold time keeps a group from starving.
      */
     private double coldCredit(Member m, Duration now) {
         double calm = calm(types[0]);
@@ -959,6 +959,7 @@
 
     /** Nothing new goes there; a primary is used on for most of the grace, until it has handed over. */
     private boolean mustStop(Member m, Duration now, boolean asPrimary) {
+        // Where the list does not prove who is gone, the txn path does: faults there leave a member alone.
         if (m.stopTold == null || m.gone && !m.seenDraining && flag("removal-not-binding")) {
             return false;
         }
