--- a/src/main/java/wingroad/routing/TxnRouter.java
+++ b/src/main/java/wingroad/routing/TxnRouter.java
@@ -565,9 +565,7 @@
                 }
             }
         }
-        if (fresh < 2 && need != null) {
-            refresh(g, t, now);
-        }
+        boolean asked = fresh < 2 && need != null && refresh(g, t, now);
         if (best != null) {
             return best;
         }
@@ -575,7 +573,7 @@
             return leastBehind;
         }
         Member p = g.primary;
-        if (p == null || g.searching || away(p, now) || mustStop(p, now, true)) {
+        if (asked && fresh == 0 || p == null || g.searching || away(p, now) || mustStop(p, now, true)) {
             return null;
         }
         // Reads that need the primary leave a part of its room to the writes.
@@ -583,21 +581,15 @@
         if (replicas == 0) {
             return p.out.size() < room ? p : null;
         }
-        if (p.out.size() + 1 > room * 0.75) {
+        if (p.out.size() + 1 > Math.max(Math.min(1, room), room * 0.75)) {
             return null;
         }
         if (t.type.freshness() == Freshness.OWN_WRITES) {
             return p;
         }
-        if (!t.spillCounted) {
-            t.spillCounted = true;
-            g.spillCredit = Math.min(2, g.spillCredit + g.spillShare);
-        }
-        if (g.spillCredit < 1) {
-            return null;
-        }
-        g.spillCredit -= 1;
-        return p;
+        // By chance, not by turns: a driver with few reads would wait long for its turn.
+        t.spill = t.spill == null ? random.nextDouble() < g.spillShare : t.spill;
+        return t.spill ? p : null;
     }
 
     /** It was heard lately to be further behind than it would wait for. */
@@ -629,20 +621,21 @@
     }
 
     /** Asks replicas of which too little is known for their position, each not too often for the bound. */
-    private void refresh(Group g, Txn t, Duration now) {
+    private boolean refresh(Group g, Txn t, Duration now) {
         Duration bound = t.type.freshness() == Freshness.RECENT ? t.type.oldestData() : t.type.slaTime();
         int asked = 0;
         int start = random.nextInt(g.members.size());
         for (int i = 0; i < g.members.size() && asked < 2; i++) {
             Member m = g.members.get((start + i) % g.members.size());
-            if (m != g.primary && !away(m, now)
-                && (m.probedAt == null || now.minus(m.probedAt).compareTo(bound.dividedBy(4)) > 0)
+            if (m != g.primary && !away(m, now) && (m.probeOut
+                || (m.probedAt == null || now.minus(m.probedAt).compareTo(bound.dividedBy(4)) > 0)
                 && (m.positionHeard == null || now.minus(m.positionHeard).compareTo(bound.dividedBy(4)) > 0)
-                && probe(m, now)) {
+                && probe(m, now))) {
                 asked++;
             }
         }
         wake(g, now.plus(bound.dividedBy(8)));
+        return asked > 0;
     }
 
     private double cost(Member m, Duration now) {
@@ -816,7 +809,7 @@
         }
         if (m == t.group.primary && !t.type.update()) {
             t.group.spillShare = ratio(m, now) > 1 ? Math.max(SPILL_SHARE, t.group.spillShare * 0.8)
-                : Math.min(1, t.group.spillShare + SPILL_SHARE / 2);
+                : Math.min(1, t.group.spillShare * 1.5);
         }
     }
 
--- a/src/main/java/wingroad/state/Group.java
+++ b/src/main/java/wingroad/state/Group.java
@@ -19,9 +19,8 @@
     /** Txns that wait for a member, in the order in which they came. */
     public final ArrayDeque<Txn> writes = new ArrayDeque<>();
     public final ArrayDeque<Txn> reads = new ArrayDeque<>();
-    /** The part of the reads without a fit replica that may go to the primary, and what of it is saved. */
+    /** The part of the reads without a fit replica that may go to the primary. */
     public double spillShare;
-    public double spillCredit;
     /** The time for which the newest claim to be primary was proven. */
     public Duration claimAt;
     /** When this group asked to be looked at again, or null. */
--- a/src/main/java/wingroad/state/Txn.java
+++ b/src/main/java/wingroad/state/Txn.java
@@ -23,8 +23,8 @@
     public boolean answered;
     /** True while it waits at the router for a member. */
     public boolean held;
-    /** It has added its part to what reads without a fresh replica may send to the primary. */
-    public boolean spillCounted;
+    /** Whether it is of the part of reads without a fit replica that may go to the primary; null: not asked yet. */
+    public Boolean spill;
 
     public Txn(String id, TxnType type, Group group, Duration arrivedAt, Duration expiresAt,
                long session, boolean retry) {
