--- a/src/main/java/wingroad/routing/TxnRouter.java
+++ b/src/main/java/wingroad/routing/TxnRouter.java
@@ -565,10 +565,10 @@
                 }
             }
         }
-        boolean asked = fresh < 2 && need != null && refresh(g, t, now);
         if (best != null) {
             return best;
         }
+        boolean asked = fresh < 2 && need != null && refresh(g, t, now);
         if (checked && leastBehind != null && fresh == 0 && t.submissions.size() < 2) {
             return leastBehind;
         }
