--- a/src/main/java/wingroad/routing/TxnRouter.java
+++ b/src/main/java/wingroad/routing/TxnRouter.java
@@ -104,17 +104,8 @@
         for (int i = 0; i < types.length; i++) {
             String t = "txn-type." + i + ".";
             types[i] = new TxnType(i, time(t + "sla-time"), time(t + "expiry"), number(t + "value"),
-                number(t + "late-share"), switch (String.valueOf(terms.get(t + "repeat"))) {
-                    case "repeatable" -> Repeat.REPEATABLE;
-                    case "referenced" -> Repeat.REFERENCED;
-                    default -> Repeat.ONCE_ONLY;
-                }, switch (String.valueOf(terms.get(t + "reads"))) {
-                    case "update" -> Freshness.UPDATE;
-                    case "latest" -> Freshness.LATEST;
-                    case "own-writes" -> Freshness.OWN_WRITES;
-                    case "recent" -> Freshness.RECENT;
-                    default -> Freshness.LOOSE;
-                }, time(t + "oldest-data"), time(t + "window"),
+                number(t + "late-share"), Repeat.of(terms.get(t + "repeat")),
+                Freshness.of(terms.get(t + "reads")), time(t + "oldest-data"), time(t + "window"),
                 "all".equals(terms.get(t + "repeats-dropped-by")));
             longest = max(longest, types[i].slaTime());
             Duration age = types[i].oldestData();
@@ -159,10 +150,8 @@
         tellStop(m, draining || gone, gone, now);
         m.listed = !gone;
         listNamed.add(m);
-        String shows = String.valueOf(terms.get("role-in-list"));
-        if (primary && m.group.primary == null && m.roleAt == null && shows.equals("late") && !gone) {
+        if (primary && !gone && m.group.primary == null && "late".equals(terms.get("role-in-list"))) {
             m.group.primary = m;
-            m.group.claimAt = null;
         }
         touch(m.group);
     }
@@ -198,7 +187,7 @@
     @Override
     public void listFailed(Duration now) {
         listFailures++;
-        Duration pause = time("ask-within").dividedBy(64).multipliedBy(1L << Math.min(listFailures, 4));
+        Duration pause = times(time("ask-within"), Math.pow(2, Math.min(listFailures, 4) - 6));
         askListAt(now.plus(times(pause, 0.5 + random.nextDouble())));
     }
 
@@ -208,9 +197,10 @@
         Group g = groups.computeIfAbsent(group, i -> newGroup(i, now));
         Txn t = new Txn(id, types[type], g, now, now.plus(left), session, retry);
         // The SLA time runs from the client's first try. A try with less time than others of its type get is
-        // a later one: what its client has left of the expiry tells how long ago the first was.
+        // a later one: what its client has left of the expiry tells how long ago the first was. Where clients
+        // mark their retries, one without the mark is from a client of little patience.
         longestTry[type] = max(longestTry[type], left);
-        if (left.plus(step).compareTo(longestTry[type]) < 0) {
+        if (left.plus(step).compareTo(longestTry[type]) < 0 && (retry || !flag("clients-mark-retries"))) {
             t.aimAt = t.aimAt.minus(max(Duration.ZERO, t.type.expiry().minus(left)));
         }
         if (t.type.freshness() == Freshness.OWN_WRITES) {
@@ -227,8 +217,7 @@
                                 boolean over, Role role, Duration position) {
         Member m = members.get(member);
         Txn t = txns.get(id);
-        Submission s = m.out.stream().filter(o -> o.txn.id.equals(id) && o.number == number).findFirst()
-            .orElseThrow();
+        Submission s = m.out.stream().filter(o -> o.txn.id.equals(id) && o.number == number).findAny().get();
         m.out.remove(s);
         s.end = end;
         ended.add(now, 1);
@@ -278,6 +267,9 @@
         // never later than that, so the position dates the role.
         if (role != Role.UNKNOWN && position != null) {
             heard(m, role, position, now);
+            if (role == Role.PRIMARY) {
+                m.group.reportAge = now.minus(position);
+            }
         }
         heardPosition(m, position, now);
         touch(m.group);
@@ -485,10 +477,33 @@
                 }
                 if (mayGoAgain(t, now)) {
                     i.remove();
-                    submit(t, p, now);
+                    boolean asks = !checked && t.submissions.isEmpty() && reportsLate(g);
+                    Member asked = asks ? unproven(g, now) : null;
+                    submit(t, asked == null ? p : asked, now);
+                }
+            }
+        }
+    }
+
+    /** Guards against late reports: the primary's own, dated by its position, tell how old they all are. */
+    private boolean reportsLate(Group g) {
+        return g.reportAge.compareTo(bound.dividedBy(2)) > 0;
+    }
+
+    /** A replica to ask "am I a writer?" by a write itself: its miss runs nothing and proves a position. */
+    private Member unproven(Group g, Duration now) {
+        Member found = null;
+        for (Member m : g.members) {
+            if (m != g.primary && !mustStop(m, now, false) && !away(m, now) && m.out.size() < room(m, now)) {
+                if (m.position != null && now.minus(m.position).compareTo(bound.dividedBy(2)) < 0) {
+                    return null;
+                }
+                if (m.failures == 0 && (found == null || random.nextBoolean())) {
+                    found = m;
                 }
             }
         }
+        return found;
     }
 
     private void placeReads(Group g, Duration now) {
@@ -568,7 +583,7 @@
         if (best != null) {
             return best;
         }
-        boolean asked = fresh < 2 && need != null && refresh(g, t, now);
+        boolean asked = fresh < 2 && need != null && !reportsLate(g) && refresh(g, t, now);
         if (checked && leastBehind != null && fresh == 0 && t.submissions.size() < 2) {
             return leastBehind;
         }
@@ -731,8 +746,7 @@
         if (harmless) {
             // A client that can still be in time may come back at once; one that is too late better waits.
             boolean away = flag("may-advise-come-back") && late(t, now);
-            Duration comeBack = away ? time("longest-come-back") : null;
-            ready.add(Decision.decline(t.id, comeBack));
+            ready.add(Decision.decline(t.id, away ? time("longest-come-back") : null));
         } else {
             ready.add(Decision.rollBack(t.id));
         }
@@ -747,29 +761,21 @@
 
     /** When a held txn is given up: what it waits for could no longer be of use by then. */
     private Duration giveUpAt(Txn t, Duration now) {
-        Duration useful = t.type.lateShare() > 0 ? t.expiresAt : min(t.aimAt, t.expiresAt);
-        Duration last = useful.minus(t.type.slaTime().minus(slack(t.type, now)));
+        Duration takes = millis(Math.max(calm(t.type), usual(t.type, now)));
+        Duration last = (t.type.lateShare() > 0 ? t.expiresAt : min(t.aimAt, t.expiresAt)).minus(takes);
         if (t.type.lateShare() == 0) {
             // Half of it: a client that asks again may then still be served in time.
-            last = min(last, t.arrivedAt.plus(slack(t.type, now).dividedBy(2)));
+            last = min(last, t.arrivedAt.plus(t.type.slaTime().minus(takes).dividedBy(2)));
         }
         return min(endAt(t), max(t.arrivedAt.plus(step), last));
     }
 
-    /** What the SLA time leaves beside a present answer time. */
-    private Duration slack(TxnType type, Duration now) {
-        return type.slaTime().minus(millis(Math.max(took[type.index()].calm, usual(type, now))));
-    }
-
     private Duration endAt(Txn t) {
         return t.expiresAt.minus(step);
     }
 
     private boolean mayRepeat(Txn t, Duration now) {
-        if (t.type.repeat() == Repeat.REPEATABLE || !t.mayHaveRun()) {
-            return true;
-        }
-        return t.type.repeat() == Repeat.REFERENCED
+        return t.type.repeat() == Repeat.REPEATABLE || !t.mayHaveRun() || t.type.repeat() == Repeat.REFERENCED
             && now.plus(step).compareTo(t.firstMayHaveRunAt().plus(t.type.window())) < 0;
     }
 
@@ -919,7 +925,7 @@
     /**
      * Guards against pushing a cold member over, by quick misses and refusals too: work for it is saved up at
      * the rate that a warm member of its kind gets from this driver, times its warm part and three quarters
-     * of the rule's multiple. Such a rate adds up over any number of drivers, first sends are spread by chance;
+     * of the rule's multiple. Such a rate adds up over many drivers, and first sends are spread by chance;
      * what each may send at once would not. With none known, one a cold time keeps a group from starving.
      */
     private double coldCredit(Member m, Duration now) {
--- a/src/main/java/wingroad/simhost/Terms.java
+++ b/src/main/java/wingroad/simhost/Terms.java
@@ -32,6 +32,7 @@
         new Name("family-info.waits-for-copy", "writes-wait-for-replica", FLAG, Boolean.FALSE),
         new Name("family-info.write-marks", "session-marks", WORD, "router"),
         new Name("report.source", "reports", WORD, "silent"),
+        new Name("callers.marks-retry", "clients-mark-retries", FLAG, Boolean.FALSE),
         new Name("limits.cancelling", "may-cancel", FLAG, Boolean.FALSE),
         new Name("limits.probes", "may-probe", FLAG, Boolean.FALSE),
         new Name("limits.retry-after", "may-advise-come-back", FLAG, Boolean.FALSE),
--- a/src/main/java/wingroad/state/Group.java
+++ b/src/main/java/wingroad/state/Group.java
@@ -26,6 +26,8 @@
     /** When this group asked to be looked at again, or null. */
     public Duration wakeAsked;
     public boolean dirty;
+    /** How old the newest report was in which its primary called itself so. */
+    public Duration reportAge = Duration.ZERO;
     /** Reads submitted to its members, and those of them that were answered in time. */
     public final DecayingSum readsSent;
     public final DecayingSum readsInTime;
--- a/src/main/java/wingroad/state/Txn.java
+++ b/src/main/java/wingroad/state/Txn.java
@@ -23,7 +23,7 @@
     public boolean answered;
     /** True while it waits at the router for a member. */
     public boolean held;
-    /** Whether it is of the part of reads without a fit replica that may go to the primary; null: not asked yet. */
+    /** Whether it is of the part of reads without a fit replica that may spill; null: not asked yet. */
     public Boolean spill;
 
     public Txn(String id, TxnType type, Group group, Duration arrivedAt, Duration expiresAt,
--- a/src/test/java/wingroad/routing/TxnRouterTest.java
+++ b/src/test/java/wingroad/routing/TxnRouterTest.java
@@ -385,4 +385,18 @@
         g.txn(2001, "w", WRITE, 3000);
         assertThat(of(Kind.PROBE, g.until(2001))).hasSize(1);
     }
+
+    @Test
+    void whereReportsComeLateAWriteAsksAReplicaOnItsWay() {
+        // Guards against reads refused for lack of proof: the primary's own report shows how late all are.
+        Given g = new Given().group(1, 2).roles(5, 2);
+        g.says(4000, 1, Role.PRIMARY, 1000);
+        g.says(4000, 2, Role.REPLICA, 999);
+        g.txn(4001, "r", READ, 2000);
+        assertThat(of(Kind.PROBE, g.decisions(4001))).extracting(Decision::member).doesNotContain(2L);
+        g.txn(4002, "w", WRITE, 3000);
+        assertThat(of(Kind.SUBMIT, g.decisions(4002))).extracting(Decision::member).containsExactly(2L);
+        g.router.submissionEnded(at(4004), "w", 0, 2, End.MISSED, at(2), false, Role.REPLICA, at(4003));
+        assertThat(of(Kind.SUBMIT, g.decisions(4004))).extracting(Decision::member).contains(1L, 2L);
+    }
 }
