--- a/src/main/java/wingroad/routing/TxnRouter.java
+++ b/src/main/java/wingroad/routing/TxnRouter.java
@@ -157,9 +157,8 @@
     }
 
     private Group newGroup(int id, Duration now) {
-        Group g = new Group(id, memory.multipliedBy(4));
+        Group g = new Group(id);
         g.spillShare = SPILL_SHARE;
-        g.readsInTime.add(now, FIRST_LIMIT);
         return g;
     }
 
@@ -224,8 +223,8 @@
         if (end == End.COMMITTED) {
             committed.add(now, 1);
             measure(m, s.txn, took, now);
-            if (!s.txn.type.update() && took.compareTo(s.txn.type.slaTime()) <= 0) {
-                m.group.readsInTime.add(now, 1);
+            if (warmth(m, now) >= 1 && took.compareTo(s.txn.type.slaTime()) <= 0) {
+                m.credit += IN_TIME_MULTIPLE * calm(s.txn.type);
             }
             if (s.txn.type.update() && s.txn.session >= 0 && position != null
                 && "router".equals(terms.get("session-marks"))) {
@@ -547,10 +546,6 @@
         double bestCost = 0;
         int replicas = 0;
         int fresh = 0;
-        // Guards against many drivers that each keep little out and together crowd a group: where limits can
-        // fall no further, what is sent follows what of late was answered in time.
-        boolean crowded = t.submissions.isEmpty()
-            && g.readsSent.read(now) > 1 + IN_TIME_MULTIPLE * g.readsInTime.read(now);
         for (Member m : g.members) {
             if (m == g.primary || mustStop(m, now, false)) {
                 continue;
@@ -563,7 +558,7 @@
             if (!ok && checked && m.behind != null) {
                 ok = now.minus(m.behind).compareTo(need) >= 0;
             }
-            boolean room = m.out.size() < part * room(m, now) && !(crowded && m.limit < 2);
+            boolean room = m.out.size() < part * room(m, now);
             if (!ok) {
                 if (room && !missedAt(t, m) && !sureMiss(m, need, now) && (leastBehind == null
                     || behind(m).compareTo(behind(leastBehind)) < 0)) {
@@ -669,10 +664,7 @@
         }
         m.out.add(s);
         sentToKind.get(m.kind).sent.add(now, calm(t.type));
-        m.credit -= calm(t.type);
-        if (!t.type.update()) {
-            m.group.readsSent.add(now, 1);
-        }
+        m.credit = Math.max(0, m.credit - calm(t.type));
         ready.add(Decision.submit(t.id, m.id, s.number, null));
         alarm(min(endAt(t), now.plus(millis(2 * usual(t.type, now)))), t);
     }
@@ -916,33 +908,41 @@
 
     /** How many submissions the member may hold of this driver. */
     private double room(Member m, Duration now) {
-        if (warmth(m, now) < 1 && coldCredit(m, now) < calm(types[0])) {
+        boolean few = m.limit < 2 && m != m.group.primary;
+        if ((few || warmth(m, now) < 1) && credit(m, now) < calm(types[0])) {
             return 0;
         }
         return m.failures > 1 || m.failures > 0 && now.compareTo(m.shunnedUntil) < 0 ? 1 : m.limit;
     }
 
     /**
-     * Guards against pushing a cold member over, by quick misses and refusals too: work for it is saved up at
-     * the rate that a warm member of its kind gets from this driver, times its warm part and three quarters
-     * of the rule's multiple. Such a rate adds up over many drivers, and first sends are spread by chance;
-     * what each may send at once would not. With none known, one a cold time keeps a group from starving.
+     * Work that may be sent, saved up at a rate: such a rate adds up over many drivers, what each may send at once
+     * or keep out at the least would not. Guards against pushing a cold member over, by quick misses and refusals
+     * too: the rate is what a warm member of its kind gets from this driver, times its warm part and three
+     * quarters of the rule's multiple; with none known, one submission a cold time keeps a group from starving.
+     * And against many drivers that crowd a replica whose limits can fall no further: it gets a little more than
+     * it answers in time, and a try now and then.
      */
-    private double coldCredit(Member m, Duration now) {
+    private double credit(Member m, Duration now) {
         double calm = calm(types[0]);
-        Load load = sentToKind.get(m.kind);
-        if (load.countedAt == null || now.minus(load.countedAt).compareTo(time("fall")) > 0) {
-            load.countedAt = now;
-            load.members = members.values().stream().filter(o -> o.listed && o.kind == m.kind)
-                .mapToDouble(o -> warmth(o, now)).sum();
-        }
-        double rate = Math.max(calm / ms(cold), warmth(m, now) * number("fall-multiple") * 0.75
-            * load.sent.read(now) * Math.log(2) / ms(load.span) / Math.max(1, load.members));
+        double warm = warmth(m, now);
+        double rate = calm / ms(memory.multipliedBy(8));
+        double most = 2 * calm;
+        if (warm < 1) {
+            Load load = sentToKind.get(m.kind);
+            if (load.countedAt == null || now.minus(load.countedAt).compareTo(time("fall")) > 0) {
+                load.countedAt = now;
+                load.members = members.values().stream().filter(o -> o.listed && o.kind == m.kind)
+                    .mapToDouble(o -> warmth(o, now)).sum();
+            }
+            rate = Math.max(calm / ms(cold), warm * number("fall-multiple") * 0.75
+                * load.sent.read(now) * Math.log(2) / ms(load.span) / Math.max(1, load.members));
+            most = calm + rate * ms(time("fall")) / 4;
+        }
         if (m.creditAt == null) {
-            m.credit = random.nextDouble() * calm;
+            m.credit = warm < 1 ? random.nextDouble() * calm : most;
         } else {
-            double most = calm + rate * ms(time("fall")) / 4;
-            m.credit = Math.min(Math.max(most, m.credit), m.credit + rate * ms(now.minus(m.creditAt)));
+            m.credit = Math.min(most, m.credit + rate * ms(now.minus(m.creditAt)));
         }
         m.creditAt = now;
         return m.credit;
--- a/src/main/java/wingroad/state/Group.java
+++ b/src/main/java/wingroad/state/Group.java
@@ -28,13 +28,8 @@
     public boolean dirty;
     /** How old the newest report was in which its primary called itself so. */
     public Duration reportAge = Duration.ZERO;
-    /** Reads submitted to its members, and those of them that were answered in time. */
-    public final DecayingSum readsSent;
-    public final DecayingSum readsInTime;
 
-    public Group(int id, Duration span) {
+    public Group(int id) {
         this.id = id;
-        this.readsSent = new DecayingSum(span);
-        this.readsInTime = new DecayingSum(span);
     }
 }
--- a/src/main/java/wingroad/state/Member.java
+++ b/src/main/java/wingroad/state/Member.java
@@ -39,7 +39,7 @@
     /** Decaying answers and their summed slowness (took as a ratio of the target). */
     public final DecayingSum answers;
     public final DecayingSum slowness;
-    /** While it is cold: work saved up for it, in calm answer times, and when; null since a start. */
+    /** Work saved up for it while it gets little, in calm answer times, and when; null since a start. */
     public double credit;
     public Duration creditAt;
     public int failures;
