--- a/src/main/java/wingroad/routing/TxnRouter.java
+++ b/src/main/java/wingroad/routing/TxnRouter.java
@@ -908,7 +908,7 @@
 
     /** How many submissions the member may hold of this driver. */
     private double room(Member m, Duration now) {
-        boolean few = m.limit < 2 && m != m.group.primary;
+        boolean few = m.limit < FIRST_LIMIT / 2 && m != m.group.primary;
         if ((few || warmth(m, now) < 1) && credit(m, now) < calm(types[0])) {
             return 0;
         }
