--- a/src/main/java/wingroad/routing/TxnRouter.java
+++ b/src/main/java/wingroad/routing/TxnRouter.java
@@ -231,6 +231,9 @@
                 sessionWrites.merge(s.txn.session, position, Spans::max);
             }
         }
+        if (end == End.TIMED_OUT && m != m.group.primary) {
+            m.limit = Math.max(1, Math.min(m.limit, m.out.size() + 1) * 0.75);
+        }
         if (end == End.COMMITTED || end == End.MISSED || end == End.ERROR || end == End.FULL) {
             signOfLife(m, now, end);
         } else if (end != End.CANCELLED && end != End.MOOT
@@ -710,8 +713,7 @@
         if (g.primary == s.member) {
             search(g, now, "primary silent " + s.member.id + " holding " + s.member.out.size());
         }
-        boolean inTime = t.aimAt.minus(now).compareTo(millis(calm(t.type))) > 0;
-        if (t.type.repeat() != Repeat.REPEATABLE || s.cancelled || !inTime || t.held
+        if (t.type.repeat() != Repeat.REPEATABLE || s.cancelled || late(t, now) || t.held
             || t.submissions.size() >= number("most-submissions") || !budget(now)) {
             return;
         }
@@ -908,20 +910,19 @@
 
     /** How many submissions the member may hold of this driver. */
     private double room(Member m, Duration now) {
-        boolean few = m.limit < FIRST_LIMIT / 2 && m != m.group.primary;
-        if ((few || warmth(m, now) < 1) && credit(m, now) < calm(types[0])) {
+        if ((m.limit < FIRST_LIMIT / 2 && m != m.group.primary || warmth(m, now) < 1)
+            && credit(m, now) < calm(types[0])) {
             return 0;
         }
         return m.failures > 1 || m.failures > 0 && now.compareTo(m.shunnedUntil) < 0 ? 1 : m.limit;
     }
 
     /**
-     * Work that may be sent, saved up at a rate: such a rate adds up over many drivers, what each may send at once
-     * or keep out at the least would not. Guards against pushing a cold member over, by quick misses and refusals
-     * too: the rate is what a warm member of its kind gets from this driver, times its warm part and three
-     * quarters of the rule's multiple; with none known, one submission a cold time keeps a group from starving.
-     * And against many drivers that crowd a replica whose limits can fall no further: it gets a little more than
-     * it answers in time, and a try now and then.
+     * Work that may be sent, saved up at a rate: rates add up over many drivers as they should, what each may
+     * send at once or keep out does not. Guards against pushing a cold member over, by quick misses too: it gets
+     * what a warm one of its kind gets of this driver, times its warm part and three quarters of the multiple,
+     * and one a cold time at the least. And against many drivers that crowd a replica whose limits can fall no
+     * further: it gets a little more than it answers in time, and a try now and then.
      */
     private double credit(Member m, Duration now) {
         double calm = calm(types[0]);
--- a/src/test/java/wingroad/routing/TxnRouterTest.java
+++ b/src/test/java/wingroad/routing/TxnRouterTest.java
@@ -399,4 +399,21 @@
         g.router.submissionEnded(at(4004), "w", 0, 2, End.MISSED, at(2), false, Role.REPLICA, at(4003));
         assertThat(of(Kind.SUBMIT, g.decisions(4004))).extracting(Decision::member).contains(1L, 2L);
     }
+
+    @Test
+    void timeOutsAtACrowdedReplicaBringItsShareDown() {
+        // Guards against a replica that answers nothing in time any more and is sent as much as before.
+        Given g = new Given().group(1, 2).roles(5, 2);
+        int sent = 0;
+        for (int i = 10; i < 6000; i += 100) {
+            g.says(i, 2, Role.REPLICA, i);
+            g.txn(i, "a" + i, READ, 2000);
+            g.txn(i, "b" + i, READ, 2000);
+            for (Decision d : of(Kind.SUBMIT, g.decisions(i))) {
+                boolean sign = d.member() != 2 || sent++ % 2 == 0;
+                g.ends(i + (sign ? 1 : 2), d.txn(), d.submission(), d.member(), sign ? End.MISSED : End.TIMED_OUT, Role.REPLICA);
+            }
+        }
+        assertThat(sent).isLessThan(40);
+    }
 }
