--- a/src/main/java/wingroad/routing/TxnRouter.java
+++ b/src/main/java/wingroad/routing/TxnRouter.java
@@ -509,7 +509,8 @@
     }
 
     private void placeReads(Group g, Duration now) {
-        if (g.reads.isEmpty()) {
+        // Guards a fresh driver whose first list was empty: a group without members holds its txns.
+        if (g.reads.isEmpty() || g.members.isEmpty()) {
             return;
         }
         // Newest first: under overload those that waited long are late anyway. Tries that come again, or too
@@ -918,11 +919,10 @@
     }
 
     /**
-     * Work that may be sent, saved up at a rate: rates add up over many drivers as they should, what each may
-     * send at once or keep out does not. Guards against pushing a cold member over, by quick misses too: it gets
-     * what a warm one of its kind gets of this driver, times its warm part and three quarters of the multiple,
-     * and one a cold time at the least. And against many drivers that crowd a replica whose limits can fall no
-     * further: it gets a little more than it answers in time, and a try now and then.
+     * Work that may be sent, saved up at a rate: rates add up over many drivers, what each may send at once
+     * or keep out does not. Guards against pushing a cold member over, by quick misses too: it gets what a
+     * warm one of its kind gets, times its warm part and three quarters of the multiple, one a cold time at
+     * least. And against crowding a replica whose limit is low: it gets a little more than it answers in time.
      */
     private double credit(Member m, Duration now) {
         double calm = calm(types[0]);
--- a/src/test/java/wingroad/routing/TxnRouterTest.java
+++ b/src/test/java/wingroad/routing/TxnRouterTest.java
@@ -411,9 +411,19 @@
             g.txn(i, "b" + i, READ, 2000);
             for (Decision d : of(Kind.SUBMIT, g.decisions(i))) {
                 boolean sign = d.member() != 2 || sent++ % 2 == 0;
-                g.ends(i + (sign ? 1 : 2), d.txn(), d.submission(), d.member(), sign ? End.MISSED : End.TIMED_OUT, Role.REPLICA);
+                g.ends(i + (sign ? 1 : 2), d.txn(), d.submission(), d.member(),
+                    sign ? End.MISSED : End.TIMED_OUT, Role.REPLICA);
             }
         }
         assertThat(sent).isLessThan(40);
     }
+
+    @Test
+    void aFreshDriverWithAnEmptyListHoldsAndThenDeclines() {
+        // Guards against a fault where a driver restarts while the list calls all members gone.
+        Given g = new Given().group();
+        g.txn(10, "r", READ, 2000);
+        g.txn(10, "w", WRITE, 3000);
+        assertThat(of(Kind.DECLINE, g.until(4000))).extracting(Decision::txn).containsExactly("r", "w");
+    }
 }
