--- a/src/main/java/wingroad/routing/TxnRouter.java
+++ b/src/main/java/wingroad/routing/TxnRouter.java
@@ -417,8 +417,8 @@
             }
             // A long search must be no load of its own: the pause grows to the time that a lost probe takes.
             g.searchRounds++;
-            Duration most = max(SEARCH_PAUSE, time("connect-time-out"));
-            g.nextProbe = now.plus(min(most, times(SEARCH_PAUSE, Math.pow(1.2, g.searchRounds - 1))));
+            Duration most = max(SEARCH_PAUSE, time("connect-time-out").multipliedBy(2));
+            g.nextProbe = now.plus(min(most, times(SEARCH_PAUSE, Math.pow(1.4, g.searchRounds - 1))));
             due = g.nextProbe;
         }
         wake(g, due);
