--- a/src/main/java/wingroad/routing/TxnRouter.java
+++ b/src/main/java/wingroad/routing/TxnRouter.java
@@ -922,7 +922,7 @@
      * Work that may be sent, saved up at a rate: rates add up over many drivers, what each may send at once
      * or keep out does not. Guards against pushing a cold member over, by quick misses too: it gets what a
      * warm one of its kind gets, times its warm part and three quarters of the multiple, one a cold time at
-     * least. And against crowding a replica whose limit is low: it gets a little more than it answers in time.
+     * least. And against crowding a replica whose limit is low: a little more than it answers in time.
      */
     private double credit(Member m, Duration now) {
         double calm = calm(types[0]);
