--- a/src/main/java/wingroad/Main.java
+++ b/src/main/java/wingroad/Main.java
@@ -1,6 +1,7 @@
 package wingroad;
 
 import java.io.IOException;
+import wingroad.driver.Driver;
 import wingroad.simhost.SimHost;
 
 /** The program's subcommands. */
@@ -12,7 +13,14 @@
         if (args.length == 1 && args[0].equals("simhost")) {
             System.exit(new SimHost(System.in, System.out, System.err).run());
         }
-        System.err.println("usage: wingroad simhost");
+        if (args.length == 1 && args[0].equals("serve")) {
+            int status = Driver.run(System.getenv(), System.out, System.err);
+            if (status != 0) {
+                System.exit(status);
+            }
+            return;
+        }
+        System.err.println("usage: wingroad serve | simhost");
         System.exit(2);
     }
 }
--- /dev/null
+++ b/src/main/java/wingroad/driver/Answer.java
@@ -0,0 +1,71 @@
+package wingroad.driver;
+
+import java.time.Duration;
+import java.util.Map;
+import wingroad.driver.Exchange.Report;
+import wingroad.driver.Exchange.Told;
+import wingroad.protocol.Gauges;
+import wingroad.protocol.MemberInput;
+import wingroad.state.Member.Role;
+import wingroad.state.Submission.End;
+import wingroad.terms.Terms;
+
+/** What a member answered, in the module's words. */
+final class Answer {
+    static final String TURNED_AWAY = "53300";
+
+    final End end;
+    final Told told;
+    /** The row's messages, where there is one. */
+    final byte[] row;
+    /** The member's report, where the row itself is one. */
+    final Report asked;
+
+    Answer(MemberInput in, Clock clock) {
+        end = end(in);
+        Double position = Gauges.number(in.parameter("caught_up_to"));
+        String gauges = in.parameter("gauges");
+        told = new Told(role(in.parameter("part")), position == null ? null : clock.at(position),
+            gauges == null ? null : report(gauges, clock));
+        row = in.served() ? in.row() : null;
+        asked = in.served() ? report(in.value(), clock) : null;
+    }
+
+    private static End end(MemberInput in) {
+        if (in.served()) {
+            return End.COMMITTED;
+        }
+        String code = in.error() == null ? "" : in.error();
+        return switch (code) {
+            case "25006", "72000" -> End.MISSED;
+            case TURNED_AWAY -> End.FULL;
+            default -> End.ERROR;
+        };
+    }
+
+    private static Role role(String part) {
+        return "master".equals(part) ? Role.PRIMARY : "replica".equals(part) ? Role.REPLICA : Role.UNKNOWN;
+    }
+
+    static Report report(String gauges, Clock clock) {
+        Role role = Role.UNKNOWN;
+        Duration position = null;
+        double held = Double.NaN;
+        double waiting = Double.NaN;
+        double busy = Double.NaN;
+        for (Map.Entry<String, Double> e : Gauges.parse(gauges).entrySet()) {
+            double v = e.getValue();
+            switch (Terms.figure(e.getKey())) {
+                case "position" -> position = clock.at(v * 1000);
+                case "primary" -> role = v == 1 ? Role.PRIMARY : Role.REPLICA;
+                case "held" -> held = v;
+                case "waiting" -> waiting = v;
+                case "busy" -> busy = v;
+                default -> {
+                    // a figure that the module has no use for
+                }
+            }
+        }
+        return new Report(role, position, held, waiting, busy);
+    }
+}
--- /dev/null
+++ b/src/main/java/wingroad/driver/ClientLink.java
@@ -0,0 +1,190 @@
+package wingroad.driver;
+
+import java.nio.ByteBuffer;
+import java.time.Duration;
+import wingroad.protocol.ClientInput;
+import wingroad.protocol.ClientOutput;
+import wingroad.protocol.Statement;
+import wingroad.transport.Link;
+
+/** One client's connection. Its commands are taken one after the other, each when the last is answered. */
+final class ClientLink implements Link.Owner, Exchange.Asker {
+    private final Clients side;
+    private final ClientInput input = new ClientInput();
+    private Link link;
+    private int number;
+    private boolean started;
+    /** The txn that waits for its final answer, or null. */
+    private String txn;
+    /** After an extended-query message all is skipped up to its sync. */
+    private boolean skipping;
+    /** Nothing more is taken; what was answered is still written. */
+    private boolean leaving;
+
+    ClientLink(Clients side, int number) {
+        this.side = side;
+        this.number = number;
+    }
+
+    void begin(Link link) {
+        this.link = link;
+        link.begin();
+    }
+
+    boolean busy() {
+        return txn != null || link.unsent() || link.unread();
+    }
+
+    @Override
+    public void bytes(ByteBuffer in) {
+        if (leaving) {
+            in.position(in.limit());
+            return;
+        }
+        // One that does not read its answers gets no further ones: at most one waits to be written.
+        while (txn == null && !leaving && !link.unsent()) {
+            ClientInput.Message m = input.next(in);
+            if (m == null) {
+                return;
+            }
+            take(m);
+        }
+    }
+
+    private void take(ClientInput.Message m) {
+        switch (m.kind()) {
+            case STARTUP, NEWER_STARTUP -> {
+                started = true;
+                send(new ClientOutput().welcome(m.kind() == ClientInput.Kind.NEWER_STARTUP, number));
+            }
+            case ENCRYPTION -> send(new ClientOutput().noEncryption());
+            case QUERY -> {
+                if (!skipping) {
+                    query(m.bytes());
+                }
+            }
+            case EXTENDED -> {
+                if (!skipping) {
+                    skipping = true;
+                    side.count("extended query");
+                    send(new ClientOutput().error(false, ClientOutput.UNSUPPORTED, "only simple queries", null));
+                }
+            }
+            case SYNC -> {
+                ClientOutput out = new ClientOutput();
+                if (m.why() != null && !skipping) {
+                    out.error(false, ClientOutput.UNSUPPORTED, "no function calls", null);
+                }
+                if (m.why() == null || !skipping) {
+                    skipping = false;
+                    send(out.ready());
+                }
+            }
+            case SKIP -> {
+                // rows for a copy that was never begun
+            }
+            case BROKEN -> {
+                side.count("client " + m.why());
+                send(new ClientOutput().error(true, ClientOutput.MALFORMED, m.why(), null));
+                leave();
+            }
+            default -> {
+                leaving = true;
+                close();
+            }
+        }
+    }
+
+    private void query(byte[] text) {
+        if (isBlank(text)) {
+            send(new ClientOutput().emptyQuery());
+            return;
+        }
+        Statement.Parsed p = Statement.parse(text);
+        String why = p.why();
+        String code = ClientOutput.MALFORMED;
+        Statement s = p.statement();
+        if (s != null) {
+            code = ClientOutput.UNKNOWN_NAME;
+            why = side.whyUnknown(s);
+        }
+        if (why != null) {
+            side.count("client " + why);
+            send(new ClientOutput().error(false, code, why, null).ready());
+            return;
+        }
+        txn = side.arrived(s, this);
+    }
+
+    private static boolean isBlank(byte[] text) {
+        for (byte b : text) {
+            if (b != ' ' && b != ';' && b != '\n' && b != '\t' && b != '\r') {
+                return false;
+            }
+        }
+        return true;
+    }
+
+    @Override
+    public void committed(byte[] row) {
+        answer(new ClientOutput().row(row));
+    }
+
+    @Override
+    public void declined(Duration comeBack) {
+        side.count("DECLINED");
+        String wait = comeBack == null ? null : Long.toString(Math.max(1, comeBack.toMillis()));
+        answer(new ClientOutput().error(false, ClientOutput.DECLINED, "declined", wait).ready());
+    }
+
+    @Override
+    public void rolledBack() {
+        side.count("ROLLED BACK");
+        answer(new ClientOutput().error(false, ClientOutput.ROLLED_BACK, "rolled back", null).ready());
+    }
+
+    private void answer(ClientOutput out) {
+        txn = null;
+        send(out);
+        if (side.closing()) {
+            leave();
+        } else {
+            side.idles(this);
+        }
+    }
+
+    private void send(ClientOutput out) {
+        link.send(out.bytes());
+    }
+
+    @Override
+    public void written() {
+        if (!leaving && link.unread()) {
+            link.offerAgain();
+        }
+    }
+
+    /** Takes nothing more; the client sees the end after the last answer. */
+    void leave() {
+        leaving = true;
+        link.finish();
+    }
+
+    boolean started() {
+        return started;
+    }
+
+    void close() {
+        link.close();
+        side.left(this);
+    }
+
+    @Override
+    public void ended(int unwritten, String how) {
+        if (txn != null) {
+            side.lapsed(txn);
+            txn = null;
+        }
+        side.left(this);
+    }
+}
--- /dev/null
+++ b/src/main/java/wingroad/driver/Clients.java
@@ -0,0 +1,146 @@
+package wingroad.driver;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.function.IntPredicate;
+import wingroad.protocol.ClientInput;
+import wingroad.protocol.Statement;
+import wingroad.transport.Door;
+import wingroad.transport.Loop;
+
+/** The client side: who is connected, and which txn types there are. */
+final class Clients {
+    private final Loop loop;
+    private final Exchange exchange;
+    private final Tally tally;
+    private final List<String> types;
+    private final boolean[] updates;
+    private final boolean[] ownWrites;
+    private final boolean sessions;
+    private final IntPredicate groupKnown;
+    /** In the order in which they were last answered, the one longest ago first. */
+    private final LinkedHashSet<ClientLink> links = new LinkedHashSet<>();
+    private Door door;
+    private int numbers;
+    private boolean closing;
+
+    Clients(Loop loop, Exchange exchange, Tally tally, List<String> types, Map<String, Object> terms,
+            IntPredicate groupKnown) {
+        this.loop = loop;
+        this.exchange = exchange;
+        this.tally = tally;
+        this.types = types;
+        this.groupKnown = groupKnown;
+        this.updates = new boolean[types.size()];
+        this.ownWrites = new boolean[types.size()];
+        boolean any = false;
+        for (int i = 0; i < types.size(); i++) {
+            Object reads = terms.get("txn-type." + i + ".reads");
+            updates[i] = "update".equals(reads);
+            ownWrites[i] = "own-writes".equals(reads);
+            any |= ownWrites[i];
+        }
+        this.sessions = any;
+    }
+
+    void listen(InetSocketAddress at) throws IOException {
+        door = new Door(loop, at, ClientInput.MOST + 1024, this::room, in -> {
+            ClientLink c = new ClientLink(this, ++numbers);
+            links.add(c);
+            c.begin(in.apply(c));
+        });
+        door.again();
+    }
+
+    InetSocketAddress at() throws IOException {
+        return door.at();
+    }
+
+    /** A quarter of the descriptors is kept for members; in need, the client idle for longest goes. */
+    private boolean room() {
+        return loop.channelsLeft() > loop.mostChannels() / 4 || closeOneIdle();
+    }
+
+    /** Closes the connection that has been idle for longest; false where none is. */
+    boolean closeOneIdle() {
+        for (ClientLink c : links) {
+            if (c.started() && !c.busy()) {
+                tally.count("idle client closed for room");
+                c.close();
+                return true;
+            }
+        }
+        return false;
+    }
+
+    /** What of a statement this deployment does not know, or null. */
+    String whyUnknown(Statement s) {
+        int type = types.indexOf(s.type());
+        return type < 0 ? "unknown c" : !groupKnown.test(s.group()) ? "unknown cluster"
+            : s.writes() && !updates[type] ? "a write as a type that reads" : null;
+    }
+
+    String arrived(Statement s, ClientLink from) {
+        int type = types.indexOf(s.type());
+        long session = sessions && (updates[type] || ownWrites[type]) ? s.session() : -1;
+        return exchange.arrived(s, type, session, from);
+    }
+
+    void lapsed(String txn) {
+        tally.count("client left");
+        exchange.lapsed(txn);
+    }
+
+    void idles(ClientLink c) {
+        links.remove(c);
+        links.add(c);
+    }
+
+    void left(ClientLink c) {
+        links.remove(c);
+        if (door != null) {
+            door.again();
+        }
+    }
+
+    void count(String what) {
+        tally.count(what);
+    }
+
+    boolean closing() {
+        return closing;
+    }
+
+    /** From now on each connection ends between its txns; new ones are still let in. */
+    void beginClosing() {
+        closing = true;
+        for (ClientLink c : new ArrayList<>(links)) {
+            if (c.started() && !c.busy()) {
+                c.leave();
+            }
+        }
+    }
+
+    /** Lets nobody in any more. */
+    void shutDoor() {
+        door.close();
+    }
+
+    /** Nothing is left to be answered or written. */
+    boolean idle() {
+        for (ClientLink c : links) {
+            if (c.busy()) {
+                return false;
+            }
+        }
+        return true;
+    }
+
+    int connections() {
+        return links.size();
+    }
+}
--- /dev/null
+++ b/src/main/java/wingroad/driver/Commission.java
@@ -0,0 +1,92 @@
+package wingroad.driver;
+
+import com.fasterxml.jackson.core.JsonFactory;
+import com.fasterxml.jackson.core.JsonParser;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import wingroad.protocol.Json;
+import wingroad.protocol.MemberList;
+
+/** What a driver is told at its start: who it is, where it listens, whom it asks, and the deployment. */
+record Commission(String name, InetSocketAddress listen, InetSocketAddress discovery, long seed, int descriptors,
+                  MemberList known, Map<String, Object> settings) {
+    private static final int USUAL_DESCRIPTORS = 1024;
+
+    /** What is told is missing or broken. */
+    static final class Refused extends Exception {
+        private static final long serialVersionUID = 1L;
+
+        Refused(String why) {
+            super(why);
+        }
+    }
+
+    /** From the file that LB_CONFIG names; the other variables count where the file has no such value. */
+    static Commission read(Map<String, String> env) throws Refused {
+        String file = env.get("LB_CONFIG");
+        if (file == null || file.isEmpty()) {
+            throw new Refused("LB_CONFIG names no configuration");
+        }
+        byte[] text;
+        try {
+            text = Files.readAllBytes(Path.of(file));
+        } catch (IOException | RuntimeException e) {
+            throw new Refused("the configuration can't be read: " + e);
+        }
+        try (JsonParser in = new JsonFactory().createParser(text)) {
+            in.nextToken();
+            Map<String, Object> all = Json.object(Json.value(in), "the configuration");
+            Map<String, Object> limits = all.get("limits") == null ? Map.of()
+                : Json.object(all.get("limits"), "'limits'");
+            int descriptors = Json.number(limits, "sockets", USUAL_DESCRIPTORS).intValue();
+            return new Commission(word(all, "name", env.getOrDefault("LB_NAME", "driver")),
+                address(word(all, "listen", env.get("LB_LISTEN")), "listen"),
+                address(word(all, "discovery", env.get("LB_DISCOVERY")), "discovery"),
+                seed(all.get("seed")), descriptors,
+                all.get("known") == null ? new MemberList(0, true, List.of())
+                    : MemberList.of(Json.object(all.get("known"), "'known'")),
+                Json.object(Json.need(all, "settings"), "'settings'"));
+        } catch (IOException e) {
+            throw new Refused("the configuration is no JSON: " + file);
+        } catch (Json.Malformed e) {
+            throw new Refused("the configuration is broken: " + e.getMessage());
+        }
+    }
+
+    private static String word(Map<String, Object> all, String name, String otherwise) {
+        return all.get(name) instanceof String s ? s : otherwise;
+    }
+
+    private static long seed(Object seed) {
+        if (seed instanceof Number n) {
+            return n.longValue();
+        }
+        String s = seed instanceof String text ? text : "";
+        return s.matches("[0-9a-fA-F]{1,16}") ? Long.parseUnsignedLong(s, 16) : s.hashCode();
+    }
+
+    private static InetSocketAddress address(String text, String what) throws Refused {
+        int colon = text == null ? -1 : text.lastIndexOf(':');
+        if (colon <= 0 || !text.substring(colon + 1).matches("[0-9]{1,5}")
+            || Integer.parseInt(text.substring(colon + 1)) > 0xffff) {
+            throw new Refused("'" + what + "' is no address: " + text);
+        }
+        return new InetSocketAddress(text.substring(0, colon), Integer.parseInt(text.substring(colon + 1)));
+    }
+
+    /** The names that the settings list under this word; their places are the numbers that the module uses. */
+    List<String> names(String list) {
+        List<String> names = new ArrayList<>();
+        if (settings.get(list) instanceof List<?> l) {
+            for (Object o : l) {
+                names.add(o instanceof Map<?, ?> m ? String.valueOf(m.get("name")) : String.valueOf(o));
+            }
+        }
+        return names;
+    }
+}
--- /dev/null
+++ b/src/main/java/wingroad/driver/Driver.java
@@ -0,0 +1,159 @@
+package wingroad.driver;
+
+import java.io.IOException;
+import java.io.PrintStream;
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.CountDownLatch;
+import wingroad.protocol.MemberList;
+import wingroad.routing.Router;
+import wingroad.routing.TxnRouter;
+import wingroad.terms.Terms;
+import wingroad.transport.Loop;
+
+/** The program on sockets: puts its parts together, and takes them down when it is told to stop. */
+public final class Driver {
+    /** After the word to stop, clients may still come for most of this. */
+    private static final Duration STILL_COMING = Duration.ofMillis(700);
+    private static final Duration TALLY_EVERY = Duration.ofSeconds(5);
+    private static final Duration STEP = Duration.ofMillis(5);
+
+    private final Clock clock = new Clock();
+    private final Tally tally = new Tally();
+    private final Set<Integer> groups = new HashSet<>();
+    private final CountDownLatch done = new CountDownLatch(1);
+    private final Log log;
+    private final Commission commission;
+    private final List<String> zones;
+    private final List<String> kinds;
+    private final Loop loop;
+    private final Exchange exchange;
+    private final Members members;
+    private final Clients clients;
+    private final Discovery discovery;
+    private Duration stoppedAt;
+
+    private Driver(Commission c, PrintStream out) throws IOException {
+        commission = c;
+        log = new Log(clock, out);
+        zones = c.names("azs");
+        kinds = c.names("shapes");
+        Map<String, Object> terms = Terms.of(c.settings());
+        // The rest is for what the program itself holds open: its archive, its polling, its log.
+        loop = new Loop(c.descriptors() - Math.min(64, c.descriptors() / 4), log::fault);
+        Router router = new TxnRouter(terms, c.seed(), log::line);
+        exchange = new Exchange(loop, clock, router, (Duration) terms.get("connect-time-out"));
+        clients = new Clients(loop, exchange, tally, c.names("grades"), terms,
+            g -> groups.isEmpty() || groups.contains(g));
+        members = new Members(loop, clock, exchange, tally, terms, clients::closeOneIdle);
+        discovery = new Discovery(loop, c.discovery(), c.known().version(), tally, this::learn,
+            () -> exchange.router().listFailed(clock.now()));
+        exchange.meet(members, discovery);
+    }
+
+    /** Serves until told to stop; returns the exit status where it can't begin. */
+    public static int run(Map<String, String> env, PrintStream out, PrintStream err) {
+        try {
+            Commission c = Commission.read(env);
+            Driver driver = new Driver(c, out);
+            driver.start();
+            return 0;
+        } catch (Commission.Refused e) {
+            err.println("wingroad: " + e.getMessage());
+        } catch (IOException | RuntimeException e) {
+            err.println("wingroad: can't start: " + e.getMessage());
+        }
+        return 2;
+    }
+
+    private void start() throws IOException {
+        Runtime.getRuntime().addShutdownHook(new Thread(this::stopped, "stop"));
+        CountDownLatch begun = new CountDownLatch(1);
+        IOException[] failure = new IOException[1];
+        loop.run(() -> {
+            learn(commission.known());
+            if (!"ask".equals(Terms.of(commission.settings()).get("member-list"))) {
+                discovery.follow();
+            }
+            try {
+                clients.listen(commission.listen());
+                InetSocketAddress at = clients.at();
+                log.line(commission.name() + " serves " + at.getHostString() + ":" + at.getPort() + ", knows "
+                    + commission.known().entries().size() + " members, descriptors for " + loop.mostChannels());
+            } catch (IOException | RuntimeException e) {
+                failure[0] = new IOException(commission.listen() + ": " + e.getMessage());
+            }
+            begun.countDown();
+        });
+        try {
+            begun.await();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+        if (failure[0] != null) {
+            done.countDown();
+            throw failure[0];
+        }
+        loop.after(TALLY_EVERY, this::report);
+    }
+
+    private void learn(MemberList list) {
+        Duration now = clock.now();
+        Router router = exchange.router();
+        router.listStarts(now, list.whole());
+        for (MemberList.Entry e : list.entries()) {
+            groups.add(e.group());
+            router.listed(now, members.listed(e), e.group(), Math.max(0, zones.indexOf(e.zone())),
+                Math.max(0, kinds.indexOf(e.kind())), e.weight(), e.primary(), e.draining(), e.gone(),
+                e.startedAt() > 0 ? clock.at(e.startedAt()) : null);
+        }
+        router.listEnds(now);
+        if (!list.entries().isEmpty()) {
+            log.line("list " + list.version() + (list.whole() ? " whole, " : " changes ") + list.entries().size());
+        }
+    }
+
+    private void report() {
+        String counted = tally.take();
+        if (counted != null) {
+            log.line("counted " + counted + "; clients " + clients.connections() + ", members "
+                + members.connections() + ", open " + exchange.openTxns());
+        }
+        loop.after(TALLY_EVERY, this::report);
+    }
+
+    /** The word to stop has come. The process ends when this returns. */
+    private void stopped() {
+        if (done.getCount() > 0) {
+            loop.run(() -> {
+                stoppedAt = clock.now();
+                log.line("told to stop, open " + exchange.openTxns());
+                clients.beginClosing();
+                leaveWhenDone();
+            });
+        }
+        try {
+            done.await();
+            log.flush();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    private void leaveWhenDone() {
+        boolean mayCome = clock.now().minus(stoppedAt).compareTo(STILL_COMING) < 0;
+        if (!mayCome) {
+            clients.shutDoor();
+        }
+        if (!mayCome && exchange.openTxns() == 0 && clients.idle()) {
+            log.line("stops after " + clock.now().minus(stoppedAt).toMillis() + " ms");
+            done.countDown();
+        } else {
+            loop.after(STEP, this::leaveWhenDone);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/wingroad/driver/Exchange.java
@@ -0,0 +1,214 @@
+package wingroad.driver;
+
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.Map;
+import wingroad.protocol.Statement;
+import wingroad.routing.Decision;
+import wingroad.routing.Router;
+import wingroad.state.Member;
+import wingroad.state.Submission;
+import wingroad.transport.Loop;
+
+/**
+ * Where the client side, the member side and discovery meet, with the module between them. It says to the module
+ * what happens, pulls its decisions and hands them to whom they concern; it decides nothing.
+ */
+final class Exchange {
+    /** Who asked for a txn; one of these is its final answer. */
+    interface Asker {
+        void committed(byte[] row);
+
+        void declined(Duration comeBack);
+
+        void rolledBack();
+    }
+
+    /** The member side. It answers each errand once, later, by {@link #ended} or {@link #probed}. */
+    interface Carrier {
+        void carry(Errand errand);
+
+        void callOff(String txn, int submission);
+    }
+
+    /** Discovery. */
+    interface Lists {
+        void follow();
+
+        void fetch();
+    }
+
+    /** One submission, or a probe where the statement is null, for a member until a time. */
+    record Errand(String txn, int submission, long member, Statement statement, Duration until) {
+        boolean probe() {
+            return statement == null;
+        }
+    }
+
+    /** What a member said of itself with an answer; {@code report} is null without one. */
+    record Told(Member.Role role, Duration position, Report report) {
+        static final Told NOTHING = new Told(Member.Role.UNKNOWN, null, null);
+    }
+
+    /** A member's report; figures not in it are NaN. */
+    record Report(Member.Role role, Duration position, double held, double waiting, double busy) {
+    }
+
+    private static final class Open {
+        final Statement statement;
+        final Asker asker;
+        final Duration expiresAt;
+
+        Open(Statement statement, Asker asker, Duration expiresAt) {
+            this.statement = statement;
+            this.asker = asker;
+            this.expiresAt = expiresAt;
+        }
+    }
+
+    private final Loop loop;
+    private final Clock clock;
+    private final Router router;
+    private final Duration probeWait;
+    private final Map<String, Open> open = new HashMap<>();
+    private Carrier carrier;
+    private Lists lists;
+    private long txns;
+    private boolean pullAsked;
+    private Duration wakeAt;
+    private Loop.Timer wake;
+
+    Exchange(Loop loop, Clock clock, Router router, Duration probeWait) {
+        this.loop = loop;
+        this.clock = clock;
+        this.router = router;
+        this.probeWait = probeWait;
+    }
+
+    void meet(Carrier carrier, Lists lists) {
+        this.carrier = carrier;
+        this.lists = lists;
+    }
+
+    Router router() {
+        changed();
+        return router;
+    }
+
+    Duration now() {
+        return clock.now();
+    }
+
+    int openTxns() {
+        return open.size();
+    }
+
+    // ---- from the clients ----
+
+    /** A txn was accepted; the name by which it is known here. The statement's own id may come twice. */
+    String arrived(Statement s, int type, long session, Asker asker) {
+        Duration now = clock.now();
+        String txn = "t" + txns++;
+        Duration left = Duration.ofMillis(s.left());
+        open.put(txn, new Open(s, asker, now.plus(left)));
+        Duration sinceWrite = s.after() == null ? null : now.minus(clock.at(s.after()));
+        router().txnArrived(now, txn, type, s.group(), left, session, sinceWrite, s.retry());
+        return txn;
+    }
+
+    /** The client has left; nobody is told of this txn any more. */
+    void lapsed(String txn) {
+        if (open.remove(txn) != null) {
+            router().txnLapsed(clock.now(), txn);
+        }
+    }
+
+    // ---- from the members ----
+
+    /** A submission has ended; {@code row} is what the client gets where it is committed. */
+    void ended(Errand e, Submission.End end, Duration took, Told told, byte[] row) {
+        Duration now = clock.now();
+        report(now, e.member(), told.report());
+        Open txn = end == Submission.End.COMMITTED ? open.remove(e.txn()) : null;
+        router().submissionEnded(now, e.txn(), e.submission(), e.member(), end, took, txn != null, told.role(),
+            told.position());
+        if (txn != null) {
+            txn.asker.committed(row);
+        }
+    }
+
+    void probed(long member, boolean answered, Duration took, Report report) {
+        Duration now = clock.now();
+        report(now, member, report);
+        router().probeEnded(now, member, answered, took);
+    }
+
+    private void report(Duration now, long member, Report r) {
+        if (r != null) {
+            router().reported(now, member, r.role(), r.position(), r.held(), r.waiting(), r.busy());
+        }
+    }
+
+    // ---- decisions ----
+
+    /** Something came in: the module is asked once all that has come in by now is told. */
+    private void changed() {
+        if (!pullAsked) {
+            pullAsked = true;
+            loop.run(this::pull);
+        }
+    }
+
+    private void pull() {
+        pullAsked = false;
+        Duration now = clock.now();
+        for (Decision d = router.next(now); d != null; d = router.next(now)) {
+            carryOut(d, now);
+        }
+        Duration at = router.wakeAt();
+        if (at != null && (wakeAt == null || at.compareTo(wakeAt) < 0)) {
+            if (wake != null) {
+                wake.cancel();
+            }
+            wakeAt = at;
+            wake = loop.after(at.minus(clock.now()), () -> {
+                wakeAt = null;
+                wake = null;
+                pull();
+            });
+        }
+    }
+
+    private void carryOut(Decision d, Duration now) {
+        switch (d.kind()) {
+            case SUBMIT -> {
+                Open txn = open.get(d.txn());
+                if (txn == null) {
+                    Errand none = new Errand(d.txn(), d.submission(), d.member(), null, now);
+                    loop.run(() -> ended(none, Submission.End.MOOT, Duration.ZERO, Told.NOTHING, null));
+                } else {
+                    Duration until = d.when() == null || d.when().compareTo(txn.expiresAt) > 0 ? txn.expiresAt
+                        : d.when();
+                    carrier.carry(new Errand(d.txn(), d.submission(), d.member(), txn.statement, until));
+                }
+            }
+            case DECLINE -> {
+                Open txn = open.remove(d.txn());
+                if (txn != null) {
+                    txn.asker.declined(d.when());
+                }
+            }
+            case ROLL_BACK -> {
+                Open txn = open.remove(d.txn());
+                if (txn != null) {
+                    txn.asker.rolledBack();
+                }
+            }
+            case CANCEL -> carrier.callOff(d.txn(), d.submission());
+            case PROBE -> carrier.carry(new Errand(null, -1, d.member(), null, now.plus(probeWait)));
+            case FOLLOW_LIST -> lists.follow();
+            case FETCH_LIST -> lists.fetch();
+            default -> throw new IllegalStateException("no way to " + d.kind());
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/wingroad/driver/MemberLink.java
@@ -0,0 +1,210 @@
+package wingroad.driver;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.ByteBuffer;
+import java.time.Duration;
+import wingroad.driver.Exchange.Errand;
+import wingroad.protocol.MemberInput;
+import wingroad.protocol.MemberOutput;
+import wingroad.state.Submission.End;
+import wingroad.transport.Link;
+import wingroad.transport.Loop;
+
+/** One connection to a member. It carries one errand at a time; whatever is in doubt closes it. */
+final class MemberLink implements Link.Owner {
+    private enum Stage { CONNECTING, STARTING, IDLE, SENT, CLOSED }
+
+    private final Members side;
+    private final Members.Place place;
+    private final Loop loop;
+    private final MemberInput input = new MemberInput();
+    private Link link;
+    private Stage stage = Stage.CONNECTING;
+    private Errand errand;
+    private Duration since;
+    /** Whether the errand's last byte is known to be written. */
+    private boolean written;
+    private Loop.Timer startTimer;
+    private Loop.Timer errandTimer;
+    private Loop.Timer idleTimer;
+
+    private MemberLink(Members side, Members.Place place, Loop loop) {
+        this.side = side;
+        this.place = place;
+        this.loop = loop;
+    }
+
+    /** Opens one for an errand, which waits until the member has let it in. */
+    static MemberLink open(Members side, Members.Place place, InetSocketAddress to, Loop loop, Duration wait,
+                           Errand first) throws IOException {
+        MemberLink m = new MemberLink(side, place, loop);
+        m.link = Link.open(loop, to, m, MemberInput.MOST + 1024);
+        m.startTimer = loop.after(wait, () -> m.giveUp("not up in time", End.UNREACHABLE));
+        m.takeOn(first);
+        return m;
+    }
+
+    Errand errand() {
+        return errand;
+    }
+
+    private void takeOn(Errand e) {
+        errand = e;
+        since = side.now();
+        errandTimer = loop.after(e.until().minus(since), () -> giveUp("no answer in time", reach().timedOut()));
+    }
+
+    /** Carries an errand over a connection that stands idle. */
+    void carry(Errand e) {
+        idleTimer.cancel();
+        takeOn(e);
+        sendOut();
+    }
+
+    private void sendOut() {
+        stage = Stage.SENT;
+        written = false;
+        long left = Math.max(1, errand.until().minus(side.now()).toMillis());
+        link.send(errand.probe() ? MemberOutput.gauges() : MemberOutput.query(errand.statement().withLeft(left)));
+    }
+
+    @Override
+    public void up() {
+        stage = Stage.STARTING;
+        link.send(MemberOutput.startup());
+    }
+
+    @Override
+    public void written() {
+        written = stage == Stage.SENT;
+    }
+
+    @Override
+    public void bytes(ByteBuffer in) {
+        while (stage != Stage.CLOSED) {
+            switch (input.take(in)) {
+                case WAITING -> {
+                    if (stage == Stage.IDLE && input.begun()) {
+                        drop("speaks out of turn");
+                    }
+                    return;
+                }
+                case WHOLE -> answered();
+                default -> {
+                    drop(input.why());
+                    return;
+                }
+            }
+        }
+    }
+
+    private void answered() {
+        boolean over = input.fatal();
+        if (stage == Stage.STARTING && input.error() == null) {
+            startTimer.cancel();
+            input.clear();
+            if (errand == null) {
+                idle();
+            } else {
+                sendOut();
+            }
+            return;
+        }
+        if (stage == Stage.IDLE || stage == Stage.STARTING) {
+            drop("answers " + input.error() + " unasked");
+            return;
+        }
+        Errand e = errand;
+        Duration took = side.now().minus(since);
+        errandTimer.cancel();
+        errand = null;
+        Answer answer = new Answer(input, side.clock());
+        input.clear();
+        if (over || link.unsent() && !written) {
+            shut();
+        } else {
+            idle();
+        }
+        side.answered(e, answer, took);
+    }
+
+    private void idle() {
+        stage = Stage.IDLE;
+        idleTimer = loop.after(side.idleTime(), this::close);
+        place.idle(this);
+    }
+
+    private Reach reach() {
+        if (stage == Stage.CONNECTING || stage == Stage.STARTING) {
+            return Reach.NOT_CONNECTED;
+        }
+        return input.begun() ? Reach.ANSWERING : written ? Reach.WRITTEN : Reach.PARTLY_WRITTEN;
+    }
+
+    @Override
+    public void ended(int unwritten, String how) {
+        Reach reach = reach();
+        if (reach == Reach.PARTLY_WRITTEN && unwritten == 0) {
+            reach = Reach.WRITTEN;
+        }
+        lose(reach, how);
+    }
+
+    /** The stream makes no sense any more: what was asked on it ends as what is proven. */
+    private void drop(String how) {
+        // Whoever answers has read: a write that seems to be out may be through.
+        lose(reach() == Reach.NOT_CONNECTED ? Reach.NOT_CONNECTED : Reach.ANSWERING, how);
+    }
+
+    private void lose(Reach reach, String how) {
+        Stage was = stage;
+        Errand e = errand;
+        shut();
+        if (was == Stage.CLOSED) {
+            return;
+        }
+        if (was == Stage.SENT && input.why() == null && (input.served() || input.error() != null)) {
+            // The answer itself was whole; only the word that the member is ready is missing.
+            side.answered(e, new Answer(input, side.clock()), side.now().minus(since));
+        } else if (e != null) {
+            boolean turnedAway = was == Stage.STARTING && Answer.TURNED_AWAY.equals(input.error());
+            side.failed(e, turnedAway ? End.FULL : reach.lost(), side.now().minus(since), how);
+        }
+    }
+
+    private void giveUp(String how, End end) {
+        if (stage != Stage.CLOSED) {
+            Errand e = errand;
+            shut();
+            if (e != null) {
+                side.failed(e, end, side.now().minus(since), how);
+            }
+        }
+    }
+
+    /** Stops waiting for its errand. */
+    void callOff() {
+        giveUp("called off", reach().calledOff());
+    }
+
+    /** Closes one that stands idle. */
+    void close() {
+        if (stage == Stage.IDLE) {
+            link.send(MemberOutput.terminate());
+        }
+        shut();
+    }
+
+    private void shut() {
+        stage = Stage.CLOSED;
+        errand = null;
+        for (Loop.Timer t : new Loop.Timer[] {startTimer, errandTimer, idleTimer}) {
+            if (t != null) {
+                t.cancel();
+            }
+        }
+        link.close();
+        place.closed(this);
+    }
+}
--- /dev/null
+++ b/src/main/java/wingroad/driver/Members.java
@@ -0,0 +1,175 @@
+package wingroad.driver;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.ArrayDeque;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.BooleanSupplier;
+import wingroad.driver.Exchange.Errand;
+import wingroad.protocol.MemberList;
+import wingroad.state.Submission.End;
+import wingroad.transport.Loop;
+
+/** The member side: who the members are, where they are, and the connections to them. */
+final class Members implements Exchange.Carrier {
+    private final Loop loop;
+    private final Clock clock;
+    private final Exchange exchange;
+    private final Tally tally;
+    private final Duration connectTime;
+    private final Duration idleTime;
+    /** Makes room by closing a connection elsewhere; false where there is none to close. */
+    private final BooleanSupplier makeRoom;
+    private final Map<String, Place> byUid = new HashMap<>();
+    private final Map<Long, Place> byId = new LinkedHashMap<>();
+
+    /** One member: its address and its connections, those that stand idle with the newest last. */
+    final class Place {
+        final long id;
+        private InetSocketAddress address;
+        private final Set<MemberLink> links = new LinkedHashSet<>();
+        private final ArrayDeque<MemberLink> idle = new ArrayDeque<>();
+
+        private Place(long id) {
+            this.id = id;
+        }
+
+        void idle(MemberLink link) {
+            idle.add(link);
+        }
+
+        void closed(MemberLink link) {
+            links.remove(link);
+            idle.remove(link);
+        }
+
+        private void closeIdle() {
+            while (!idle.isEmpty()) {
+                idle.peekFirst().close();
+            }
+        }
+    }
+
+    Members(Loop loop, Clock clock, Exchange exchange, Tally tally, Map<String, Object> terms,
+            BooleanSupplier makeRoom) {
+        this.loop = loop;
+        this.clock = clock;
+        this.exchange = exchange;
+        this.tally = tally;
+        this.connectTime = (Duration) terms.get("connect-time-out");
+        // Closed from here a connecting time before the member may: no request crosses its closing.
+        this.idleTime = ((Duration) terms.get("idle-time")).minus(connectTime);
+        this.makeRoom = makeRoom;
+    }
+
+    Clock clock() {
+        return clock;
+    }
+
+    Duration now() {
+        return clock.now();
+    }
+
+    Duration idleTime() {
+        return idleTime;
+    }
+
+    /** A list names this member: the number by which the module knows it. */
+    long listed(MemberList.Entry e) {
+        Place p = byUid.get(e.uid());
+        if (p == null) {
+            p = new Place(byId.size() + 1);
+            byUid.put(e.uid(), p);
+            byId.put(p.id, p);
+        }
+        if (p.address == null || !p.address.getHostString().equals(e.host()) || p.address.getPort() != e.port()) {
+            p.address = new InetSocketAddress(e.host(), e.port());
+            p.closeIdle();
+        }
+        if (e.gone()) {
+            p.closeIdle();
+        }
+        return p.id;
+    }
+
+    @Override
+    public void carry(Errand e) {
+        Place p = byId.get(e.member());
+        MemberLink link = p.idle.pollLast();
+        if (link != null) {
+            link.carry(e);
+            return;
+        }
+        while (loop.channelsLeft() <= 0) {
+            if (!closeOldestIdle() && !makeRoom.getAsBoolean()) {
+                loop.run(() -> failed(e, End.UNREACHABLE, Duration.ZERO, "no descriptor left"));
+                return;
+            }
+        }
+        try {
+            p.links.add(MemberLink.open(this, p, p.address, loop, connectTime, e));
+        } catch (IOException | RuntimeException cause) {
+            loop.run(() -> failed(e, End.UNREACHABLE, Duration.ZERO, "cannot open: " + cause.getMessage()));
+        }
+    }
+
+    private boolean closeOldestIdle() {
+        for (Place p : byId.values()) {
+            if (!p.idle.isEmpty()) {
+                p.idle.peekFirst().close();
+                return true;
+            }
+        }
+        return false;
+    }
+
+    @Override
+    public void callOff(String txn, int submission) {
+        for (Place p : byId.values()) {
+            for (MemberLink link : p.links) {
+                Errand e = link.errand();
+                if (e != null && txn.equals(e.txn()) && e.submission() == submission) {
+                    loop.run(() -> {
+                        if (link.errand() == e) {
+                            link.callOff();
+                        }
+                    });
+                    return;
+                }
+            }
+        }
+    }
+
+    void answered(Errand e, Answer a, Duration took) {
+        if (e.probe()) {
+            exchange.probed(e.member(), a.asked != null, took, a.asked != null ? a.asked : a.told.report());
+        } else {
+            tally.count(a.end.name());
+            exchange.ended(e, a.end, took, a.told, a.row);
+        }
+    }
+
+    void failed(Errand e, End end, Duration took, String how) {
+        if (e.probe()) {
+            tally.count("probe " + how);
+            exchange.probed(e.member(), false, took, null);
+        } else {
+            tally.count(end.name());
+            tally.count(how);
+            exchange.ended(e, end, took, Exchange.Told.NOTHING, null);
+        }
+    }
+
+    int connections() {
+        int n = 0;
+        for (Place p : byId.values()) {
+            n += p.links.size();
+        }
+        return n;
+    }
+}
--- a/src/main/java/wingroad/simhost/Wire.java
+++ b/src/main/java/wingroad/protocol/Json.java
@@ -1,4 +1,4 @@
-package wingroad.simhost;
+package wingroad.protocol;
 
 import com.fasterxml.jackson.core.JsonParser;
 import com.fasterxml.jackson.core.JsonToken;
@@ -9,13 +9,13 @@
 import java.util.List;
 import java.util.Map;
 
-/** Reads the wire's JSON values from a token stream, and its figures. */
-final class Wire {
-    private Wire() {
+/** Reads JSON values from a token stream, and the figures in them. */
+public final class Json {
+    private Json() {
     }
 
     /** The value that the parser stands on: Map, List, String, Long, Double, Boolean or null. */
-    static Object value(JsonParser in) throws IOException {
+    public static Object value(JsonParser in) throws IOException {
         JsonToken t = in.currentToken();
         if (t == null) {
             throw new Malformed("the line ends early");
@@ -56,15 +56,15 @@
     }
 
     /** Milliseconds as a Duration, to the microsecond. */
-    static Duration span(Number ms) {
+    public static Duration span(Number ms) {
         return Duration.ofNanos(Math.round(ms.doubleValue() * 1000) * 1000);
     }
 
-    static double ms(Duration d) {
+    public static double ms(Duration d) {
         return Math.round(d.toNanos() / 1000.0) / 1000.0;
     }
 
-    static Object need(Map<String, Object> m, String name) {
+    public static Object need(Map<String, Object> m, String name) {
         Object v = m.get(name);
         if (v == null) {
             throw new Malformed("no '" + name + "'");
@@ -72,44 +72,44 @@
         return v;
     }
 
-    static String text(Map<String, Object> m, String name) {
+    public static String text(Map<String, Object> m, String name) {
         if (need(m, name) instanceof String s) {
             return s;
         }
         throw new Malformed("'" + name + "' is no text");
     }
 
-    static Number number(Map<String, Object> m, String name) {
+    public static Number number(Map<String, Object> m, String name) {
         if (need(m, name) instanceof Number n) {
             return n;
         }
         throw new Malformed("'" + name + "' is no number");
     }
 
-    static Number number(Map<String, Object> m, String name, Number absent) {
+    public static Number number(Map<String, Object> m, String name, Number absent) {
         return m.get(name) == null ? absent : number(m, name);
     }
 
     @SuppressWarnings("unchecked")
-    static Map<String, Object> object(Object v, String what) {
+    public static Map<String, Object> object(Object v, String what) {
         if (v instanceof Map<?, ?> m) {
             return (Map<String, Object>) m;
         }
         throw new Malformed(what + " is no object");
     }
 
-    static List<?> list(Map<String, Object> m, String name) {
+    public static List<?> list(Map<String, Object> m, String name) {
         if (need(m, name) instanceof List<?> l) {
             return l;
         }
         throw new Malformed("'" + name + "' is no list");
     }
 
-    /** The line is not of the wire's shape. */
-    static final class Malformed extends RuntimeException {
+    /** The text is not of the shape that was agreed. */
+    public static final class Malformed extends RuntimeException {
         private static final long serialVersionUID = 1L;
 
-        Malformed(String what) {
+        public Malformed(String what) {
             super(what);
         }
     }
--- a/src/main/java/wingroad/simhost/Instance.java
+++ b/src/main/java/wingroad/simhost/Instance.java
@@ -6,11 +6,13 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Map;
+import wingroad.protocol.Json;
 import wingroad.routing.Decision;
 import wingroad.routing.Router;
 import wingroad.routing.TxnRouter;
 import wingroad.state.Member;
 import wingroad.state.Submission;
+import wingroad.terms.Terms;
 
 /** One driver on the wire: its module, its clock's start, and the one wake-up that it keeps armed. */
 final class Instance {
@@ -35,11 +37,11 @@
     }
 
     private Duration sinceStart(double wall) {
-        return Wire.span(wall - startWall);
+        return Json.span(wall - startWall);
     }
 
     private double wall(Duration at) {
-        return Wire.ms(at.plusNanos(Math.round(startWall * 1000) * 1000));
+        return Json.ms(at.plusNanos(Math.round(startWall * 1000) * 1000));
     }
 
     void take(double wall, String name, Map<String, Object> event, Map<Long, List<?>> lists,
@@ -49,17 +51,17 @@
         try {
             switch (name) {
                 case "view" -> view(now, event, lists);
-                case "new-request" -> router.txnArrived(now, Wire.text(event, "op-id"),
-                    Wire.number(event, "band", 0).intValue(), Wire.number(event, "shard", 0).intValue(),
-                    Wire.span(Wire.number(event, "ttl")), Wire.number(event, "user", -1).longValue(),
-                    sinceWrite(event), (Wire.number(event, "marks", 0).intValue() & 2) != 0);
+                case "new-request" -> router.txnArrived(now, Json.text(event, "op-id"),
+                    Json.number(event, "band", 0).intValue(), Json.number(event, "shard", 0).intValue(),
+                    Json.span(Json.number(event, "ttl")), Json.number(event, "user", -1).longValue(),
+                    sinceWrite(event), (Json.number(event, "marks", 0).intValue() & 2) != 0);
                 case "result" -> result(now, event);
                 case "status-back" -> {
-                    long member = Wire.number(event, "member").longValue();
+                    long member = Json.number(event, "member").longValue();
                     report(now, member, event);
                     router.probeEnded(now, member, "ok".equals(event.get("state-code")), took(event));
                 }
-                case "lapsed" -> router.txnLapsed(now, Wire.text(event, "op-id"));
+                case "lapsed" -> router.txnLapsed(now, Json.text(event, "op-id"));
                 case "fired" -> {
                     if (Long.toString(armedNumber).equals(event.get("token"))) {
                         armed = null;
@@ -69,7 +71,7 @@
                     // an event of a later wire: not ours
                 }
             }
-        } catch (Wire.Malformed bad) {
+        } catch (Json.Malformed bad) {
             throw bad;
         } catch (RuntimeException bug) {
             crash(steps, bug);
@@ -77,33 +79,33 @@
     }
 
     private static Duration sinceWrite(Map<String, Object> event) {
-        double ms = Wire.number(event, "token-age-ms", 0).doubleValue();
-        return ms > 0 ? Wire.span(ms) : null;
+        double ms = Json.number(event, "token-age-ms", 0).doubleValue();
+        return ms > 0 ? Json.span(ms) : null;
     }
 
     private static Duration took(Map<String, Object> event) {
-        return Wire.span(Wire.number(event, "duration", 0));
+        return Json.span(Json.number(event, "duration", 0));
     }
 
     private void view(Duration now, Map<String, Object> event, Map<Long, List<?>> lists) {
-        String kind = Wire.text(event, "kind");
+        String kind = Json.text(event, "kind");
         if (kind.equals("broken")) {
             router.listFailed(now);
             return;
         }
-        List<?> entries = lists.get(Wire.number(event, "buffer").longValue());
+        List<?> entries = lists.get(Json.number(event, "buffer").longValue());
         if (entries == null) {
-            throw new Wire.Malformed("no list of that number");
+            throw new Json.Malformed("no list of that number");
         }
         router.listStarts(now, !kind.equals("patch"));
         for (Object e : entries) {
-            Map<String, Object> entry = Wire.object(e, "a list entry");
-            double launched = Wire.number(entry, "launched", 0).doubleValue();
+            Map<String, Object> entry = Json.object(e, "a list entry");
+            double launched = Json.number(entry, "launched", 0).doubleValue();
             String readiness = entry.get("readiness") instanceof String s ? s : "in_service";
-            router.listed(now, Wire.number(entry, "member").longValue(),
-                Wire.number(entry, "group", 0).intValue(), Wire.number(entry, "site", 0).intValue(),
-                Wire.number(entry, "class-of-host", 0).intValue(),
-                Wire.number(entry, "heft", 1).doubleValue(), Wire.number(entry, "head", 0).doubleValue() == 1,
+            router.listed(now, Json.number(entry, "member").longValue(),
+                Json.number(entry, "group", 0).intValue(), Json.number(entry, "site", 0).intValue(),
+                Json.number(entry, "class-of-host", 0).intValue(),
+                Json.number(entry, "heft", 1).doubleValue(), Json.number(entry, "head", 0).doubleValue() == 1,
                 readiness.equals("terminating"), readiness.equals("terminated"),
                 launched > 0 ? sinceStart(launched) : null);
         }
@@ -111,9 +113,9 @@
     }
 
     private void result(Duration now, Map<String, Object> event) {
-        long member = Wire.number(event, "member").longValue();
+        long member = Json.number(event, "member").longValue();
         report(now, member, event);
-        Submission.End end = switch (Wire.text(event, "state-code")) {
+        Submission.End end = switch (Json.text(event, "state-code")) {
             case "ok" -> Submission.End.COMMITTED;
             case "full" -> Submission.End.FULL;
             case "timeout" -> Submission.End.TIMED_OUT;
@@ -124,10 +126,10 @@
             case "miss" -> Submission.End.MISSED;
             default -> Submission.End.ERROR;
         };
-        long stand = Wire.number(event, "stand", 0).longValue();
+        long stand = Json.number(event, "stand", 0).longValue();
         Duration position = stand >> 2 == 0 ? null : sinceStart(zero + (stand >> 2));
-        router.submissionEnded(now, Wire.text(event, "op-id"),
-            Wire.number(event, "round-no", 0).intValue(), member, end, took(event),
+        router.submissionEnded(now, Json.text(event, "op-id"),
+            Json.number(event, "round-no", 0).intValue(), member, end, took(event),
             Boolean.TRUE.equals(event.get("terminal")), role((int) (stand & 3)), position);
     }
 
@@ -149,11 +151,11 @@
                 continue;
             }
             double v = n.doubleValue();
-            switch (String.valueOf(reportNames.get(i))) {
-                case "x0" -> position = sinceStart(zero + v * 1000);
-                case "x1" -> role = v == 1 ? Member.Role.PRIMARY : Member.Role.REPLICA;
-                case "rif" -> held = v;
-                case "q" -> waiting = v;
+            switch (Terms.figure(String.valueOf(reportNames.get(i)))) {
+                case "position" -> position = sinceStart(zero + v * 1000);
+                case "primary" -> role = v == 1 ? Member.Role.PRIMARY : Member.Role.REPLICA;
+                case "held" -> held = v;
+                case "waiting" -> waiting = v;
                 case "busy" -> busy = v;
                 default -> {
                     // a figure that the module has no use for
@@ -178,7 +180,7 @@
                 Duration wait = wake.minus(now);
                 steps.writeStartObject();
                 steps.writeStringField("msg", "arm");
-                steps.writeNumberField("wait", wait.isNegative() ? 0.0 : Wire.ms(wait));
+                steps.writeNumberField("wait", wait.isNegative() ? 0.0 : Json.ms(wait));
                 steps.writeStringField("token", Long.toString(armedNumber));
                 steps.writeEndObject();
             }
@@ -202,7 +204,7 @@
                 steps.writeStringField("msg", "refuse");
                 steps.writeStringField("op-id", d.txn());
                 if (d.when() != null) {
-                    steps.writeNumberField("come-back", Wire.ms(d.when()));
+                    steps.writeNumberField("come-back", Json.ms(d.when()));
                 }
             }
             case ROLL_BACK -> {
--- a/src/main/java/wingroad/simhost/SimHost.java
+++ b/src/main/java/wingroad/simhost/SimHost.java
@@ -16,6 +16,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import wingroad.protocol.Json;
 
 /**
  * The adapter for the simulator's wire: one line in, one line out, many instances. It decodes, renames and
@@ -46,7 +47,7 @@
             } catch (JsonProcessingException e) {
                 err.println("simhost: not a line of the wire: " + e.getOriginalMessage());
                 return 1;
-            } catch (Wire.Malformed e) {
+            } catch (Json.Malformed e) {
                 err.println("simhost: not a line of the wire: " + e.getMessage());
                 return 1;
             }
@@ -61,25 +62,25 @@
         Map<String, Object> batch;
         try (JsonParser parser = json.createParser(line)) {
             if (parser.nextToken() != JsonToken.START_OBJECT) {
-                throw new Wire.Malformed("no object");
+                throw new Json.Malformed("no object");
             }
-            batch = Wire.object(Wire.value(parser), "the line");
+            batch = Json.object(Json.value(parser), "the line");
             if (parser.nextToken() != null) {
-                throw new Wire.Malformed("more than one value");
+                throw new Json.Malformed("more than one value");
             }
         }
-        double wall = Wire.number(batch, "wall").doubleValue();
+        double wall = Json.number(batch, "wall").doubleValue();
         try (JsonGenerator steps = json.createGenerator(reply)) {
             steps.disable(JsonGenerator.Feature.AUTO_CLOSE_TARGET);
             steps.writeStartObject();
             steps.writeArrayFieldStart("groups");
-            for (Object part : Wire.list(batch, "groups")) {
-                Map<String, Object> group = Wire.object(part, "a group");
-                long id = Wire.number(group, "driver-id").longValue();
+            for (Object part : Json.list(batch, "groups")) {
+                Map<String, Object> group = Json.object(part, "a group");
+                long id = Json.number(group, "driver-id").longValue();
                 steps.writeStartObject();
                 steps.writeNumberField("driver-id", id);
                 steps.writeArrayFieldStart("steps");
-                serve(wall, id, Wire.list(group, "events"), steps);
+                serve(wall, id, Json.list(group, "events"), steps);
                 steps.writeEndArray();
                 steps.writeEndObject();
             }
@@ -90,17 +91,17 @@
 
     private void serve(double wall, long id, List<?> events, JsonGenerator steps) throws IOException {
         for (Object e : events) {
-            Map<String, Object> event = Wire.object(e, "an event");
-            String name = Wire.text(event, "msg");
+            Map<String, Object> event = Json.object(e, "an event");
+            String name = Json.text(event, "msg");
             switch (name) {
                 case "inventory" ->
-                    lists.put(Wire.number(event, "buffer").longValue(), Wire.list(event, "members-list"));
+                    lists.put(Json.number(event, "buffer").longValue(), Json.list(event, "members-list"));
                 case "crash-now" -> instances.remove(id);
                 case "power-on" -> {
                     try {
-                        instances.put(id, new Instance(wall, Wire.number(event, "salt").longValue(),
-                            Wire.object(Wire.need(event, "profile-data"), "'profile-data'"), steps));
-                    } catch (Wire.Malformed bad) {
+                        instances.put(id, new Instance(wall, Json.number(event, "salt").longValue(),
+                            Json.object(Json.need(event, "profile-data"), "'profile-data'"), steps));
+                    } catch (Json.Malformed bad) {
                         throw bad;
                     } catch (RuntimeException bug) {
                         Instance.crash(steps, bug);
--- a/src/main/java/wingroad/simhost/Terms.java
+++ b/src/main/java/wingroad/terms/Terms.java
@@ -1,15 +1,17 @@
-package wingroad.simhost;
+package wingroad.terms;
 
 import java.time.Duration;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import wingroad.protocol.Json;
 
 /**
- * Renames the wire's start-up object into the flat map of names to values that the module reads: the users'
- * words, times as Durations. What has no name here is skipped; what is absent takes the wire's default.
+ * Renames the start-up object, the same on the simulator's wire and in a driver's configuration, into the flat
+ * map of names to values that the module reads: the users' words, times as Durations. What has no name here is
+ * skipped; what is absent takes the wire's default.
  */
-final class Terms {
+public final class Terms {
     private static final int NUMBER = 0;
     private static final int TIME = 1;
     private static final int WORD = 2;
@@ -40,6 +42,7 @@
         new Name("limits.max-attempts", "most-submissions", NUMBER, 1.0),
         new Name("limits.max-retry-after", "longest-come-back", TIME, Duration.ZERO),
         new Name("limits.connect-timeout", "connect-time-out", TIME, Duration.ZERO),
+        new Name("limits.keepalive", "idle-time", TIME, Duration.ZERO),
         new Name("limits.streams-per-conn", "submissions-a-connection", NUMBER, 1.0),
         new Name("rules.answer-slack", "answer-slack", TIME, Duration.ZERO),
         new Name("rules.ask-within", "ask-within", TIME, Duration.ZERO),
@@ -69,10 +72,18 @@
         "by_key", "referenced", "once", "once-only", "own_writes", "own-writes", "delayed", "late",
         "initial", "start", "piggyback", "answers", "pull", "probes");
 
+    /** What a figure in a member's report is called here; one that is not known keeps its name. */
+    private static final Map<String, String> FIGURES = Map.of(
+        "x0", "position", "x1", "primary", "rif", "held", "q", "waiting");
+
     private Terms() {
     }
 
-    static Map<String, Object> of(Map<String, Object> wire) {
+    public static String figure(String wire) {
+        return FIGURES.getOrDefault(wire, wire);
+    }
+
+    public static Map<String, Object> of(Map<String, Object> wire) {
         Map<String, Object> terms = new HashMap<>();
         for (Name name : WHOLE) {
             terms.put(name.ours, value(name, at(wire, name.wire)));
@@ -88,7 +99,7 @@
             Object fresh = element(at(wire, "family-info.consistency"), i);
             terms.put(prefix + "reads", fresh instanceof String s ? word(s) : "loose");
             terms.put(prefix + "oldest-data",
-                element(at(wire, "family-info.oldest-data"), i) instanceof Number n ? Wire.span(n)
+                element(at(wire, "family-info.oldest-data"), i) instanceof Number n ? Json.span(n)
                     : Duration.ZERO);
         }
         return terms;
@@ -109,7 +120,7 @@
     private static Object value(Name name, Object v) {
         return switch (name.form) {
             case NUMBER -> v instanceof Number n ? (Object) n.doubleValue() : name.absent;
-            case TIME -> v instanceof Number n ? Wire.span(n) : name.absent;
+            case TIME -> v instanceof Number n ? Json.span(n) : name.absent;
             case WORD -> word(v instanceof String s ? s : (String) name.absent);
             default -> v instanceof Boolean b ? b : name.absent;
         };
--- /dev/null
+++ b/src/main/java/wingroad/transport/Link.java
@@ -0,0 +1,338 @@
+package wingroad.transport;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.StandardSocketOptions;
+import java.nio.ByteBuffer;
+import java.nio.channels.AsynchronousSocketChannel;
+import java.nio.channels.CompletionHandler;
+import java.util.ArrayDeque;
+
+/**
+ * One connection. It has one buffer for what comes in, which grows as it needs up to a bound and is compacted in
+ * place, and a queue for what goes out. All calls and all of the owner's calls are on the loop's thread.
+ */
+public final class Link {
+    private static final int FIRST_SIZE = 1024;
+
+    /** Who a connection belongs to. */
+    public interface Owner {
+        /** The connection is up; only where it was opened from here. */
+        default void up() {
+        }
+
+        /** Bytes are there; the owner takes from the front what it can use, and the rest is offered again. */
+        void bytes(ByteBuffer in);
+
+        /** All that was handed over has been written. */
+        default void written() {
+        }
+
+        /**
+         * The connection is no more, and not by the owner's own closing. {@code unwritten}: how many of the bytes
+         * handed over were certainly not written.
+         */
+        void ended(int unwritten, String how);
+    }
+
+    private final Loop loop;
+    private final AsynchronousSocketChannel channel;
+    private final Owner owner;
+    private final int bound;
+    private final byte[] none = new byte[0];
+    /** What has come in is from start to end; a read that is out fills what is behind it. */
+    private byte[] data = none;
+    private int start;
+    private int end;
+    private boolean reading;
+    private boolean inCall;
+    private boolean offering;
+    private final ArrayDeque<ByteBuffer> out = new ArrayDeque<>();
+    private boolean writing;
+    private boolean connecting;
+    private boolean finishing;
+    private boolean closed;
+    /** Why it broke, while a write that is out must still tell how far it came. */
+    private String broken;
+    private boolean told;
+
+    private Link(Loop loop, AsynchronousSocketChannel channel, Owner owner, int bound) {
+        this.loop = loop;
+        this.channel = channel;
+        this.owner = owner;
+        this.bound = bound;
+        loop.opened();
+        try {
+            channel.setOption(StandardSocketOptions.TCP_NODELAY, true);
+        } catch (IOException e) {
+            breaks("no options: " + e.getMessage());
+        }
+    }
+
+    /** Takes over an accepted channel; reading begins with {@link #begin}. */
+    static Link accepted(Loop loop, AsynchronousSocketChannel channel, Owner owner, int bound) {
+        return new Link(loop, channel, owner, bound);
+    }
+
+    /** Opens a connection; the owner hears {@code up} or {@code ended} later, never within this call. */
+    public static Link open(Loop loop, InetSocketAddress to, Owner owner, int bound) throws IOException {
+        Link link = new Link(loop, AsynchronousSocketChannel.open(loop.group), owner, bound);
+        link.connect(to);
+        return link;
+    }
+
+    private void connect(InetSocketAddress to) {
+        connecting = true;
+        try {
+            channel.connect(to, null, new CompletionHandler<Void, Void>() {
+                @Override
+                public void completed(Void nothing, Void n) {
+                    loop.run(Link.this::connected);
+                }
+
+                @Override
+                public void failed(Throwable cause, Void n) {
+                    loop.run(() -> notConnected(cause));
+                }
+            });
+        } catch (RuntimeException e) {
+            loop.run(() -> notConnected(e));
+        }
+    }
+
+    private void connected() {
+        connecting = false;
+        if (!closed) {
+            guarded(owner::up);
+            begin();
+        }
+    }
+
+    private void notConnected(Throwable cause) {
+        connecting = false;
+        breaks("not connected: " + cause.getMessage());
+    }
+
+    public void begin() {
+        read();
+    }
+
+    /** Offers again what is still in the buffer, after the owner has become able to take it. */
+    public void offerAgain() {
+        loop.run(() -> {
+            offer();
+            read();
+        });
+    }
+
+    private void offer() {
+        if (closed || offering || start == end) {
+            return;
+        }
+        offering = true;
+        ByteBuffer in = ByteBuffer.wrap(data, start, end - start);
+        guarded(() -> owner.bytes(in));
+        start = in.position();
+        offering = false;
+    }
+
+    private void read() {
+        if (reading || closed || connecting) {
+            return;
+        }
+        if (start == end) {
+            start = 0;
+            end = 0;
+            if (data.length > FIRST_SIZE) {
+                data = none;
+            }
+        } else if (end == data.length) {
+            System.arraycopy(data, start, data, 0, end - start);
+            end -= start;
+            start = 0;
+        }
+        if (end == data.length) {
+            if (end >= bound) {
+                return;
+            }
+            byte[] larger = new byte[Math.min(bound, Math.max(FIRST_SIZE, data.length * 2))];
+            System.arraycopy(data, 0, larger, 0, end);
+            data = larger;
+        }
+        reading = true;
+        inCall = true;
+        try {
+            channel.read(ByteBuffer.wrap(data, end, data.length - end), null, reads);
+        } catch (RuntimeException e) {
+            reading = false;
+            loop.run(() -> breaks("cannot read: " + e.getMessage()));
+        }
+        inCall = false;
+    }
+
+    // A completion can come within the call that asked for it, so neither handler goes on from there.
+    private final CompletionHandler<Integer, Void> reads = new CompletionHandler<>() {
+        @Override
+        public void completed(Integer count, Void nothing) {
+            if (inCall) {
+                loop.run(() -> haveRead(count));
+            } else {
+                guarded(() -> haveRead(count));
+            }
+        }
+
+        @Override
+        public void failed(Throwable cause, Void nothing) {
+            loop.run(() -> {
+                reading = false;
+                breaks("read: " + cause.getMessage());
+            });
+        }
+    };
+
+    private void haveRead(int count) {
+        reading = false;
+        if (count < 0) {
+            breaks("ended by the other side");
+            return;
+        }
+        end += count;
+        offer();
+        read();
+    }
+
+    /** Hands bytes over to be written, after those handed over before. */
+    public void send(ByteBuffer bytes) {
+        if (closed) {
+            return;
+        }
+        out.add(bytes);
+        write();
+    }
+
+    private void write() {
+        if (writing || closed || out.isEmpty()) {
+            return;
+        }
+        writing = true;
+        try {
+            channel.write(out.peek(), null, writes);
+        } catch (RuntimeException e) {
+            writing = false;
+            loop.run(() -> breaks("cannot write: " + e.getMessage()));
+        }
+    }
+
+    private final CompletionHandler<Integer, Void> writes = new CompletionHandler<>() {
+        @Override
+        public void completed(Integer count, Void nothing) {
+            loop.run(Link.this::haveWritten);
+        }
+
+        @Override
+        public void failed(Throwable cause, Void nothing) {
+            loop.run(() -> {
+                writing = false;
+                breaks("write: " + cause.getMessage());
+            });
+        }
+    };
+
+    private void haveWritten() {
+        writing = false;
+        if (!out.peek().hasRemaining()) {
+            out.poll();
+        }
+        if (broken != null) {
+            tellEnded();
+        } else if (!out.isEmpty()) {
+            write();
+        } else if (!closed) {
+            if (finishing) {
+                finish();
+            }
+            guarded(owner::written);
+        }
+    }
+
+    /** True while bytes that were handed over have not been written. */
+    public boolean unsent() {
+        return !out.isEmpty();
+    }
+
+    /** True while bytes that came in have not been taken. */
+    public boolean unread() {
+        return start != end;
+    }
+
+    public boolean isClosed() {
+        return closed;
+    }
+
+    private void breaks(String how) {
+        if (!closed) {
+            broken = how;
+            shut();
+            // Only the write that is out knows whether its last byte went: its handler comes now for certain.
+            if (!writing) {
+                tellEnded();
+            }
+        } else if (broken != null && !writing) {
+            tellEnded();
+        }
+    }
+
+    private void tellEnded() {
+        if (!told) {
+            told = true;
+            int unwritten = 0;
+            for (ByteBuffer b : out) {
+                unwritten += b.remaining();
+            }
+            int left = unwritten;
+            guarded(() -> owner.ended(left, broken));
+        }
+    }
+
+    /** Writes what was handed over, then tells the other side that no more comes; its own end ends it all. */
+    public void finish() {
+        finishing = true;
+        if (out.isEmpty() && !closed) {
+            try {
+                channel.shutdownOutput();
+            } catch (IOException e) {
+                breaks("cannot end: " + e.getMessage());
+            }
+        }
+    }
+
+    /** Ends it from here; the owner hears nothing more. */
+    public void close() {
+        told = true;
+        shut();
+    }
+
+    private void shut() {
+        if (!closed) {
+            closed = true;
+            loop.closed();
+            try {
+                channel.close();
+            } catch (IOException e) {
+                // it is gone either way
+            }
+        }
+    }
+
+    /** An exception in the owner's code ends this connection and nothing else. */
+    private void guarded(Runnable call) {
+        try {
+            call.run();
+        } catch (RuntimeException bug) {
+            loop.bug(bug);
+            if (!closed) {
+                breaks("fault of its own");
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/wingroad/transport/Loop.java
@@ -0,0 +1,82 @@
+package wingroad.transport;
+
+import java.io.IOException;
+import java.nio.channels.AsynchronousChannelGroup;
+import java.time.Duration;
+import java.util.concurrent.ScheduledFuture;
+import java.util.concurrent.ScheduledThreadPoolExecutor;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+
+/**
+ * The one thread that owns the module and all connections. Tasks, timers and the channels' completion handlers
+ * run on it, in the order in which they came. It also counts the descriptors that its channels hold.
+ */
+public final class Loop {
+    private final ScheduledThreadPoolExecutor thread = new ScheduledThreadPoolExecutor(1,
+        r -> new Thread(r, "wingroad"));
+    private final Consumer<Throwable> onBug;
+    private final int mostChannels;
+    private int channels;
+    final AsynchronousChannelGroup group;
+
+    /** {@code mostChannels}: how many channels may be open at once; {@code onBug} hears of what escapes a task. */
+    public Loop(int mostChannels, Consumer<Throwable> onBug) throws IOException {
+        this.mostChannels = mostChannels;
+        this.onBug = onBug;
+        thread.setRemoveOnCancelPolicy(true);
+        // Not a fixed pool: its own threads poll in here, and no task of ours could run on them. With this one
+        // the channels poll on a thread of theirs and hand every completion to ours.
+        group = AsynchronousChannelGroup.withThreadPool(thread);
+    }
+
+    /** Runs the task on the loop's thread, after what waits there already. From any thread. */
+    public void run(Runnable task) {
+        thread.execute(() -> guarded(task));
+    }
+
+    /** Runs the task after the wait, unless the timer is cancelled first. */
+    public Timer after(Duration wait, Runnable task) {
+        ScheduledFuture<?> f = thread.schedule(() -> guarded(task), Math.max(0, wait.toNanos()),
+            TimeUnit.NANOSECONDS);
+        return () -> f.cancel(false);
+    }
+
+    private void guarded(Runnable task) {
+        try {
+            task.run();
+        } catch (RuntimeException | StackOverflowError bug) {
+            onBug.accept(bug);
+        }
+    }
+
+    void bug(Throwable bug) {
+        onBug.accept(bug);
+    }
+
+    /** How many more channels may be opened. */
+    public int channelsLeft() {
+        return mostChannels - channels;
+    }
+
+    public int channels() {
+        return channels;
+    }
+
+    public int mostChannels() {
+        return mostChannels;
+    }
+
+    void opened() {
+        channels++;
+    }
+
+    void closed() {
+        channels--;
+    }
+
+    /** A task that has not run yet. */
+    public interface Timer {
+        void cancel();
+    }
+}
