Tests over sockets; a client that left has its submissions called off; memory bound

Tests: parsers at every split and with garbage, each way a member can end a submission, the packaged program with stand-ins. Bytes in flight are bounded by an eighth of the memory limit; a client over it is declined before anything was sent. A watch whose worn connection ends is asked again at once: what discovery holds counts as told. An exception in one decision no longer stops the pull.

--- a/src/main/java/wingroad/driver/ClientLink.java
+++ b/src/main/java/wingroad/driver/ClientLink.java
@@ -16,6 +16,8 @@
     private boolean started;
     /** The txn that waits for its final answer, or null. */
     private String txn;
+    /** The size of its statement. */
+    private int holds;
     /** After an extended-query message all is skipped up to its sync. */
     private boolean skipping;
     /** Nothing more is taken; what was answered is still written. */
@@ -113,6 +115,8 @@
             send(new ClientOutput().error(false, code, why, null).ready());
             return;
         }
+        holds = text.length;
+        side.hold(holds);
         txn = side.arrived(s, this);
     }
 
@@ -144,7 +148,7 @@
     }
 
     private void answer(ClientOutput out) {
-        txn = null;
+        settled();
         send(out);
         if (side.closing()) {
             leave();
@@ -153,6 +157,12 @@
         }
     }
 
+    private void settled() {
+        txn = null;
+        side.hold(-holds);
+        holds = 0;
+    }
+
     private void send(ClientOutput out) {
         link.send(out.bytes());
     }
@@ -179,11 +189,21 @@
         side.left(this);
     }
 
+    @Override
+    public void full() {
+        if (txn == null && !leaving) {
+            // Nothing of it was sent on: trying again is harmless.
+            side.count("client turned away for memory");
+            send(new ClientOutput().error(true, ClientOutput.DECLINED, "no memory for this now", null));
+            leave();
+        }
+    }
+
     @Override
     public void ended(int unwritten, String how) {
         if (txn != null) {
             side.lapsed(txn);
-            txn = null;
+            settled();
         }
         side.left(this);
     }
--- a/src/main/java/wingroad/driver/Clients.java
+++ b/src/main/java/wingroad/driver/Clients.java
@@ -68,7 +68,7 @@
     /** Closes the connection that has been idle for longest; false where none is. */
     boolean closeOneIdle() {
         for (ClientLink c : links) {
-            if (c.started() && !c.busy()) {
+            if (!c.busy()) {
                 tally.count("idle client closed for room");
                 c.close();
                 return true;
@@ -98,6 +98,7 @@
     void idles(ClientLink c) {
         links.remove(c);
         links.add(c);
+        door.again();
     }
 
     void left(ClientLink c) {
@@ -107,6 +108,10 @@
         }
     }
 
+    void hold(int bytes) {
+        loop.hold(bytes);
+    }
+
     void count(String what) {
         tally.count(what);
     }
@@ -120,6 +125,7 @@
         closing = true;
         for (ClientLink c : new ArrayList<>(links)) {
             if (c.started() && !c.busy()) {
+                // One that has not said a word yet may be about to ask.
                 c.leave();
             }
         }
--- a/src/main/java/wingroad/driver/Commission.java
+++ b/src/main/java/wingroad/driver/Commission.java
@@ -14,8 +14,9 @@
 
 /** What a driver is told at its start: who it is, where it listens, whom it asks, and the deployment. */
 record Commission(String name, InetSocketAddress listen, InetSocketAddress discovery, long seed, int descriptors,
-                  MemberList known, Map<String, Object> settings) {
+                  long memory, MemberList known, Map<String, Object> settings) {
     private static final int USUAL_DESCRIPTORS = 1024;
+    private static final int USUAL_MEMORY_MB = 192;
 
     /** What is told is missing or broken. */
     static final class Refused extends Exception {
@@ -44,10 +45,11 @@
             Map<String, Object> limits = all.get("limits") == null ? Map.of()
                 : Json.object(all.get("limits"), "'limits'");
             int descriptors = Json.number(limits, "sockets", USUAL_DESCRIPTORS).intValue();
+            long memory = Json.number(limits, "memory_mb", USUAL_MEMORY_MB).longValue();
             return new Commission(word(all, "name", env.getOrDefault("LB_NAME", "driver")),
                 address(word(all, "listen", env.get("LB_LISTEN")), "listen"),
                 address(word(all, "discovery", env.get("LB_DISCOVERY")), "discovery"),
-                seed(all.get("seed")), descriptors,
+                seed(all.get("seed")), descriptors, memory << 20,
                 all.get("known") == null ? new MemberList(0, true, List.of())
                     : MemberList.of(Json.object(all.get("known"), "'known'")),
                 Json.object(Json.need(all, "settings"), "'settings'"));
--- a/src/main/java/wingroad/driver/Discovery.java
+++ b/src/main/java/wingroad/driver/Discovery.java
@@ -60,6 +60,8 @@
         private HttpReply reply = new HttpReply();
         private Loop.Timer timer;
         private boolean over;
+        /** It has given a list on this connection. */
+        private boolean proven;
 
         Call(boolean watches) {
             this.watches = watches;
@@ -109,6 +111,7 @@
                 return;
             }
             version = p.list().version();
+            proven = true;
             boolean closes = reply.closes();
             if (watches && !closes) {
                 // The next call is out before the news is told: nothing that changes falls between two calls.
@@ -139,10 +142,20 @@
             if (!over) {
                 tally.count("discovery " + how);
                 end();
-                failed.run();
+                if (proven && watches) {
+                    // The connection is worn out, not discovery: what it holds counts as told, so ask at once.
+                    follow();
+                } else {
+                    failed.run();
+                }
             }
         }
 
+        @Override
+        public void full() {
+            lost("no memory for its answer");
+        }
+
         @Override
         public void ended(int unwritten, String how) {
             if (reply.end() == HttpReply.State.WHOLE) {
--- a/src/main/java/wingroad/driver/Driver.java
+++ b/src/main/java/wingroad/driver/Driver.java
@@ -30,6 +30,8 @@
     private final Commission commission;
     private final List<String> zones;
     private final List<String> kinds;
+    /** The list comes only when the module asks for it. */
+    private final boolean asked;
     private final Loop loop;
     private final Exchange exchange;
     private final Members members;
@@ -43,16 +45,18 @@
         zones = c.names("azs");
         kinds = c.names("shapes");
         Map<String, Object> terms = Terms.of(c.settings());
+        asked = "ask".equals(terms.get("member-list"));
         // The rest is for what the program itself holds open: its archive, its polling, its log.
-        loop = new Loop(c.descriptors() - Math.min(64, c.descriptors() / 4), log::fault);
+        // An eighth of the memory may be in flight: a statement is copied on its way, and there is the rest.
+        loop = new Loop(c.descriptors() - Math.min(64, c.descriptors() / 4), c.memory() / 8, log::fault);
         Router router = new TxnRouter(terms, c.seed(), log::line);
-        exchange = new Exchange(loop, clock, router, (Duration) terms.get("connect-time-out"));
+        exchange = new Exchange(loop, clock, router, (Duration) terms.get("connect-time-out"), log::fault);
         clients = new Clients(loop, exchange, tally, c.names("grades"), terms,
             g -> groups.isEmpty() || groups.contains(g));
-        members = new Members(loop, clock, exchange, tally, terms, clients::closeOneIdle);
+        members = new Members(loop, clock, tally, terms, exchange);
         discovery = new Discovery(loop, c.discovery(), c.known().version(), tally, this::learn,
             () -> exchange.router().listFailed(clock.now()));
-        exchange.meet(members, discovery);
+        exchange.meet(members, discovery, clients::closeOneIdle);
     }
 
     /** Serves until told to stop; returns the exit status where it can't begin. */
@@ -76,7 +80,7 @@
         IOException[] failure = new IOException[1];
         loop.run(() -> {
             learn(commission.known());
-            if (!"ask".equals(Terms.of(commission.settings()).get("member-list"))) {
+            if (!asked) {
                 discovery.follow();
             }
             try {
--- a/src/main/java/wingroad/driver/Exchange.java
+++ b/src/main/java/wingroad/driver/Exchange.java
@@ -3,6 +3,8 @@
 import java.time.Duration;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.function.BooleanSupplier;
+import java.util.function.Consumer;
 import wingroad.protocol.Statement;
 import wingroad.routing.Decision;
 import wingroad.routing.Router;
@@ -14,7 +16,7 @@
  * Where the client side, the member side and discovery meet, with the module between them. It says to the module
  * what happens, pulls its decisions and hands them to whom they concern; it decides nothing.
  */
-final class Exchange {
+final class Exchange implements Results {
     /** Who asked for a txn; one of these is its final answer. */
     interface Asker {
         void committed(byte[] row);
@@ -70,22 +72,27 @@
     private final Clock clock;
     private final Router router;
     private final Duration probeWait;
+    private final Consumer<Throwable> onBug;
     private final Map<String, Open> open = new HashMap<>();
     private Carrier carrier;
     private Lists lists;
+    /** Closes an idle client's connection, where there is one. */
+    private BooleanSupplier room;
     private long txns;
     private boolean pullAsked;
     private Duration wakeAt;
     private Loop.Timer wake;
 
-    Exchange(Loop loop, Clock clock, Router router, Duration probeWait) {
+    Exchange(Loop loop, Clock clock, Router router, Duration probeWait, Consumer<Throwable> onBug) {
         this.loop = loop;
         this.clock = clock;
         this.router = router;
         this.probeWait = probeWait;
+        this.onBug = onBug;
     }
 
-    void meet(Carrier carrier, Lists lists) {
+    void meet(Carrier carrier, Lists lists, BooleanSupplier room) {
+        this.room = room;
         this.carrier = carrier;
         this.lists = lists;
     }
@@ -125,24 +132,30 @@
 
     // ---- from the members ----
 
-    /** A submission has ended; {@code row} is what the client gets where it is committed. */
-    void ended(Errand e, Submission.End end, Duration took, Told told, byte[] row) {
+    @Override
+    public void ended(Errand e, Submission.End end, Duration took, Told told, byte[] row) {
         Duration now = clock.now();
         report(now, e.member(), told.report());
         Open txn = end == Submission.End.COMMITTED ? open.remove(e.txn()) : null;
-        router().submissionEnded(now, e.txn(), e.submission(), e.member(), end, took, txn != null, told.role(),
-            told.position());
         if (txn != null) {
             txn.asker.committed(row);
         }
+        router().submissionEnded(now, e.txn(), e.submission(), e.member(), end, took, txn != null, told.role(),
+            told.position());
     }
 
-    void probed(long member, boolean answered, Duration took, Report report) {
+    @Override
+    public void probed(long member, boolean answered, Duration took, Report report) {
         Duration now = clock.now();
         report(now, member, report);
         router().probeEnded(now, member, answered, took);
     }
 
+    @Override
+    public boolean makeRoom() {
+        return room.getAsBoolean();
+    }
+
     private void report(Duration now, long member, Report r) {
         if (r != null) {
             router().reported(now, member, r.role(), r.position(), r.held(), r.waiting(), r.busy());
@@ -162,8 +175,14 @@
     private void pull() {
         pullAsked = false;
         Duration now = clock.now();
-        for (Decision d = router.next(now); d != null; d = router.next(now)) {
-            carryOut(d, now);
+        try {
+            for (Decision d = router.next(now); d != null; d = router.next(now)) {
+                carryOut(d, now);
+            }
+        } catch (RuntimeException bug) {
+            // One decision is lost; those behind it are pulled once the thread has come round.
+            onBug.accept(bug);
+            changed();
         }
         Duration at = router.wakeAt();
         if (at != null && (wakeAt == null || at.compareTo(wakeAt) < 0)) {
--- a/src/main/java/wingroad/driver/MemberLink.java
+++ b/src/main/java/wingroad/driver/MemberLink.java
@@ -22,6 +22,7 @@
     private Link link;
     private Stage stage = Stage.CONNECTING;
     private Errand errand;
+    /** Since when it carries its errand, or stands idle. */
     private Duration since;
     /** Whether the errand's last byte is known to be written. */
     private boolean written;
@@ -49,6 +50,10 @@
         return errand;
     }
 
+    Duration idleSince() {
+        return since;
+    }
+
     private void takeOn(Errand e) {
         errand = e;
         since = side.now();
@@ -131,6 +136,7 @@
 
     private void idle() {
         stage = Stage.IDLE;
+        since = side.now();
         idleTimer = loop.after(side.idleTime(), this::close);
         place.idle(this);
     }
@@ -142,6 +148,11 @@
         return input.begun() ? Reach.ANSWERING : written ? Reach.WRITTEN : Reach.PARTLY_WRITTEN;
     }
 
+    @Override
+    public void full() {
+        drop("no memory for its answer");
+    }
+
     @Override
     public void ended(int unwritten, String how) {
         Reach reach = reach();
--- a/src/main/java/wingroad/driver/Members.java
+++ b/src/main/java/wingroad/driver/Members.java
@@ -9,7 +9,6 @@
 import java.util.LinkedHashSet;
 import java.util.Map;
 import java.util.Set;
-import java.util.function.BooleanSupplier;
 import wingroad.driver.Exchange.Errand;
 import wingroad.protocol.MemberList;
 import wingroad.state.Submission.End;
@@ -19,12 +18,10 @@
 final class Members implements Exchange.Carrier {
     private final Loop loop;
     private final Clock clock;
-    private final Exchange exchange;
     private final Tally tally;
+    private final Results results;
     private final Duration connectTime;
     private final Duration idleTime;
-    /** Makes room by closing a connection elsewhere; false where there is none to close. */
-    private final BooleanSupplier makeRoom;
     private final Map<String, Place> byUid = new HashMap<>();
     private final Map<Long, Place> byId = new LinkedHashMap<>();
 
@@ -55,16 +52,14 @@
         }
     }
 
-    Members(Loop loop, Clock clock, Exchange exchange, Tally tally, Map<String, Object> terms,
-            BooleanSupplier makeRoom) {
+    Members(Loop loop, Clock clock, Tally tally, Map<String, Object> terms, Results results) {
         this.loop = loop;
         this.clock = clock;
-        this.exchange = exchange;
         this.tally = tally;
+        this.results = results;
         this.connectTime = (Duration) terms.get("connect-time-out");
         // Closed from here a connecting time before the member may: no request crosses its closing.
         this.idleTime = ((Duration) terms.get("idle-time")).minus(connectTime);
-        this.makeRoom = makeRoom;
     }
 
     Clock clock() {
@@ -106,7 +101,7 @@
             return;
         }
         while (loop.channelsLeft() <= 0) {
-            if (!closeOldestIdle() && !makeRoom.getAsBoolean()) {
+            if (!closeOldestIdle() && !results.makeRoom()) {
                 loop.run(() -> failed(e, End.UNREACHABLE, Duration.ZERO, "no descriptor left"));
                 return;
             }
@@ -119,13 +114,18 @@
     }
 
     private boolean closeOldestIdle() {
+        MemberLink oldest = null;
         for (Place p : byId.values()) {
-            if (!p.idle.isEmpty()) {
-                p.idle.peekFirst().close();
-                return true;
+            MemberLink first = p.idle.peekFirst();
+            if (first != null && (oldest == null || first.idleSince().compareTo(oldest.idleSince()) < 0)) {
+                oldest = first;
             }
         }
-        return false;
+        if (oldest != null) {
+            tally.count("idle member closed for room");
+            oldest.close();
+        }
+        return oldest != null;
     }
 
     @Override
@@ -147,21 +147,21 @@
 
     void answered(Errand e, Answer a, Duration took) {
         if (e.probe()) {
-            exchange.probed(e.member(), a.asked != null, took, a.asked != null ? a.asked : a.told.report());
+            results.probed(e.member(), a.asked != null, took, a.asked != null ? a.asked : a.told.report());
         } else {
             tally.count(a.end.name());
-            exchange.ended(e, a.end, took, a.told, a.row);
+            results.ended(e, a.end, took, a.told, a.row);
         }
     }
 
     void failed(Errand e, End end, Duration took, String how) {
         if (e.probe()) {
             tally.count("probe " + how);
-            exchange.probed(e.member(), false, took, null);
+            results.probed(e.member(), false, took, null);
         } else {
             tally.count(end.name());
             tally.count(how);
-            exchange.ended(e, end, took, Exchange.Told.NOTHING, null);
+            results.ended(e, end, took, Exchange.Told.NOTHING, null);
         }
     }
 
--- /dev/null
+++ b/src/main/java/wingroad/driver/Results.java
@@ -0,0 +1,17 @@
+package wingroad.driver;
+
+import java.time.Duration;
+import wingroad.driver.Exchange.Errand;
+import wingroad.state.Submission.End;
+
+/** What the member side tells of the errands that it was given, and what it asks for. */
+interface Results {
+    /** A submission has ended; {@code row} is what the client gets where it is committed. */
+    void ended(Errand e, End end, Duration took, Exchange.Told told, byte[] row);
+
+    /** A probe has ended; {@code report} is null where it found nothing. */
+    void probed(long member, boolean answered, Duration took, Exchange.Report report);
+
+    /** Asks for a connection to be closed elsewhere; false where there is none to close. */
+    boolean makeRoom();
+}
--- a/src/main/java/wingroad/routing/TxnRouter.java
+++ b/src/main/java/wingroad/routing/TxnRouter.java
@@ -294,6 +294,8 @@
     public void txnLapsed(Duration now, String id) {
         Txn t = txns.get(id);
         if (t != null) {
+            // Nobody waits for it: what is still out would only be work for nothing.
+            t.submissions.forEach(this::cancel);
             close(t);
         }
     }
@@ -728,7 +730,7 @@
     }
 
     private void cancel(Submission s) {
-        if (!s.cancelled && flag("may-cancel")) {
+        if (s.out() && !s.cancelled && flag("may-cancel")) {
             s.cancelled = true;
             ready.add(Decision.cancel(s.txn.id, s.number));
         }
@@ -849,11 +851,8 @@
      * next answer ends it; a member whose work all ran out without one is tried again one at a time.
      */
     private boolean quiet(Member m, Duration now) {
-        if (m.silent) {
-            return true;
-        }
-        if (m.out.isEmpty()) {
-            return false;
+        if (m.silent || m.out.isEmpty()) {
+            return m.silent;
         }
         double waited = 0;
         for (Submission s : m.out) {
--- a/src/main/java/wingroad/transport/Link.java
+++ b/src/main/java/wingroad/transport/Link.java
@@ -7,6 +7,7 @@
 import java.nio.channels.AsynchronousSocketChannel;
 import java.nio.channels.CompletionHandler;
 import java.util.ArrayDeque;
+import java.util.Arrays;
 
 /**
  * One connection. It has one buffer for what comes in, which grows as it needs up to a bound and is compacted in
@@ -28,6 +29,9 @@
         default void written() {
         }
 
+        /** There is no memory for more of what comes in; nothing more is read. */
+        void full();
+
         /**
          * The connection is no more, and not by the owner's own closing. {@code unwritten}: how many of the bytes
          * handed over were certainly not written.
@@ -144,6 +148,7 @@
             start = 0;
             end = 0;
             if (data.length > FIRST_SIZE) {
+                loop.hold(-data.length);
                 data = none;
             }
         } else if (end == data.length) {
@@ -155,9 +160,13 @@
             if (end >= bound) {
                 return;
             }
-            byte[] larger = new byte[Math.min(bound, Math.max(FIRST_SIZE, data.length * 2))];
-            System.arraycopy(data, 0, larger, 0, end);
-            data = larger;
+            int size = Math.min(bound, Math.max(FIRST_SIZE, data.length * 2));
+            if (size > FIRST_SIZE && !loop.mayHold(size - data.length)) {
+                guarded(owner::full);
+                return;
+            }
+            loop.hold(size - data.length);
+            data = Arrays.copyOf(data, size);
         }
         reading = true;
         inCall = true;
@@ -207,6 +216,7 @@
             return;
         }
         out.add(bytes);
+        loop.hold(bytes.remaining());
         write();
     }
 
@@ -241,7 +251,8 @@
     private void haveWritten() {
         writing = false;
         if (!out.peek().hasRemaining()) {
-            out.poll();
+            int gone = out.poll().limit();
+            loop.hold(closed ? 0 : -gone);
         }
         if (broken != null) {
             tellEnded();
@@ -316,6 +327,10 @@
         if (!closed) {
             closed = true;
             loop.closed();
+            loop.hold(-data.length);
+            for (ByteBuffer b : out) {
+                loop.hold(-b.limit());
+            }
             try {
                 channel.close();
             } catch (IOException e) {
--- a/src/main/java/wingroad/transport/Loop.java
+++ b/src/main/java/wingroad/transport/Loop.java
@@ -18,11 +18,18 @@
     private final Consumer<Throwable> onBug;
     private final int mostChannels;
     private int channels;
+    private final long mostHeld;
+    private long held;
     final AsynchronousChannelGroup group;
 
-    /** {@code mostChannels}: how many channels may be open at once; {@code onBug} hears of what escapes a task. */
-    public Loop(int mostChannels, Consumer<Throwable> onBug) throws IOException {
+    /**
+     * @param mostChannels how many channels may be open at once
+     * @param mostHeld     how many bytes all connections may hold that came in or wait to go out
+     * @param onBug        hears of what escapes a task
+     */
+    public Loop(int mostChannels, long mostHeld, Consumer<Throwable> onBug) throws IOException {
         this.mostChannels = mostChannels;
+        this.mostHeld = mostHeld;
         this.onBug = onBug;
         thread.setRemoveOnCancelPolicy(true);
         // Not a fixed pool: its own threads poll in here, and no task of ours could run on them. With this one
@@ -67,6 +74,19 @@
         return mostChannels;
     }
 
+    /** Counts bytes that are held from now on, or with a negative number no more. */
+    public void hold(long bytes) {
+        held += bytes;
+    }
+
+    boolean mayHold(long bytes) {
+        return held + bytes <= mostHeld;
+    }
+
+    public long held() {
+        return held;
+    }
+
     void opened() {
         channels++;
     }
--- /dev/null
+++ b/src/test/java/wingroad/driver/DriverIT.java
@@ -0,0 +1,242 @@
+package wingroad.driver;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static wingroad.Given.DESCRIPTION;
+import static wingroad.Given.entry;
+import static wingroad.Given.message;
+import static wingroad.Given.read;
+import static wingroad.Given.text;
+import static wingroad.Given.write;
+
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import wingroad.Given;
+import wingroad.Given.Client;
+import wingroad.Given.StandInDiscovery;
+import wingroad.Given.StandInMember;
+
+/** Starts the packaged program as deploy/balancer.toml does, and speaks to it over sockets. */
+class DriverIT {
+    @TempDir
+    Path dir;
+
+    private Process driver;
+    private int port;
+    private final StandInDiscovery discovery = discovery();
+    private final StandInMember primary = member(true);
+    private final StandInMember replica = member(false);
+
+    private static StandInDiscovery discovery() {
+        try {
+            return new StandInDiscovery();
+        } catch (IOException e) {
+            throw new AssertionError(e);
+        }
+    }
+
+    private static StandInMember member(boolean primary) {
+        try {
+            return new StandInMember(primary, (sql, s) -> s.row(primary ? "from primary" : "from replica", primary));
+        } catch (IOException e) {
+            throw new AssertionError(e);
+        }
+    }
+
+    private Process process(String config) throws IOException {
+        String run = Files.readAllLines(Path.of("deploy/balancer.toml")).stream().filter(l -> l.startsWith("run = "))
+            .findFirst().get().replaceAll("^run = \"(.*)\"$", "$1");
+        ProcessBuilder p = new ProcessBuilder("/bin/sh", "-c", run).redirectErrorStream(true);
+        p.environment().put("LB_CONFIG", config);
+        return p.start();
+    }
+
+    private Client start() throws Exception {
+        String known = entry("s-1", primary.port(), "ready") + "," + entry("s-2", replica.port(), "ready");
+        Path config = Files.writeString(dir.resolve("config.json"), "{\"name\":\"n\",\"listen\":\"127.0.0.1:0\","
+            + "\"discovery\":\"127.0.0.1:" + discovery.port() + "\",\"seed\":\"8c1f30d27a5be964\",\"new\":{},"
+            + "\"limits\":{\"cores\":1.0,\"memory_mb\":192,\"sockets\":1024},\"known\":{\"rev\":0,\"all\":true,"
+            + "\"targets\":[" + known + "]},\"settings\":" + Given.SETTINGS + "}");
+        driver = process(config.toString());
+        BufferedReader log = driver.inputReader(StandardCharsets.UTF_8);
+        for (String line = log.readLine(); line != null; line = log.readLine()) {
+            if (line.contains(" serves ")) {
+                port = Integer.parseInt(line.replaceAll(".*:([0-9]+),.*", "$1"));
+                Thread rest = new Thread(() -> log.lines().forEach(l -> { }));
+                rest.setDaemon(true);
+                rest.start();
+                return client();
+            }
+        }
+        throw new AssertionError("it never served");
+    }
+
+    private Client client() throws IOException {
+        Client c = new Client(port).startup();
+        assertThat(c.heard()).isEmpty();
+        return c;
+    }
+
+    @AfterEach
+    void stop() throws Exception {
+        if (driver != null) {
+            driver.destroyForcibly().waitFor();
+        }
+        discovery.close();
+        primary.close();
+        replica.close();
+    }
+
+    @Test
+    void readsAndWritesAreCommittedInTheOrderInWhichTheyWereAsked() throws Exception {
+        Client c = start();
+        assertThat(c.ask("").heard()).containsExactly("empty");
+        c.raw(message('Q', text(read("a"))), message('Q', text(write("b"))), message('Q', text("")),
+            message('Q', text(read("c"))));
+        assertThat(c.heard()).containsExactly("row from replica");
+        assertThat(c.heard()).containsExactly("row from primary");
+        assertThat(c.heard()).containsExactly("empty");
+        assertThat(c.heard()).containsExactly("row from replica");
+        assertThat(primary.await()).startsWith("/* id=b,c=change,d=");
+    }
+
+    @Test
+    void theFirstQueryMayStandRightBehindTheStartup() throws Exception {
+        start();
+        Client c = new Client(port).raw(Given.STARTUP, message('Q', text(write("x"))));
+        assertThat(c.heard()).isEmpty();
+        assertThat(c.heard()).containsExactly("row from primary");
+    }
+
+    @Test
+    void anUnsafeWriteThatMayHaveRunIsRolledBackAndNotSentAgain() throws Exception {
+        Client c = start();
+        primary.script((sql, s) -> s.end());
+        assertThat(c.ask(write("w")).heard()).containsExactly("error 08007");
+        assertThat(primary.queries).hasSize(1);
+        assertThat(replica.queries).isEmpty();
+    }
+
+    @Test
+    void aReadThatNobodyCanServeIsDeclined() throws Exception {
+        Client c = start();
+        replica.close();
+        primary.close();
+        assertThat(c.ask(read("r")).heard()).containsExactly("error 53300");
+    }
+
+    @Test
+    void aMemberLostMidAnswerLeavesTheClientOneWholeAnswer() throws Exception {
+        Client c = start();
+        replica.script((sql, s) -> {
+            s.raw(message('T', DESCRIPTION), new byte[] {'D', 0, 0, 0, 90, 0, 1});
+            replica.script((again, s2) -> s2.row("whole", false));
+            s.end();
+        });
+        assertThat(c.ask(read("r")).heard()).containsExactly("row whole");
+        assertThat(replica.queries).hasSize(2);
+    }
+
+    @Test
+    void writesFollowAPrimaryThatMoved() throws Exception {
+        Client c = start();
+        assertThat(c.ask(write("a")).heard()).containsExactly("row from primary");
+        primary.primary = false;
+        replica.primary = true;
+        primary.script((sql, s) -> s.error("25006", false));
+        replica.script((sql, s) -> s.row("from the new one", true));
+        assertThat(c.ask(write("b")).heard()).containsExactly("row from the new one");
+    }
+
+    @Test
+    void theListIsFollowed() throws Exception {
+        Client c = start();
+        assertThat(c.ask(read("a")).heard()).containsExactly("row from replica");
+        try (StandInMember later = new StandInMember(false, (sql, s) -> s.row("from a later one", false))) {
+            replica.script((sql, s) -> s.error("53300", false));
+            discovery.tell(entry("s-1", primary.port(), "ready") + "," + entry("s-3", later.port(), "ready"));
+            String row;
+            do {
+                row = c.ask(read("b")).heard().get(0);
+            } while (!row.equals("row from a later one"));
+            int before = replica.queries.size();
+            assertThat(c.ask(read("c")).heard()).containsExactly("row from a later one");
+            assertThat(replica.queries).hasSize(before);
+        }
+    }
+
+    @Test
+    void aClientThatLeavesEndsItsSubmission() throws Exception {
+        start();
+        BlockingQueue<String> ended = new LinkedBlockingQueue<>();
+        primary.script((sql, s) -> {
+            s.awaitEnd();
+            ended.add(sql);
+        });
+        Client leaving = client().ask(write("gone"));
+        primary.await();
+        leaving.close();
+        assertThat(ended.poll(20, TimeUnit.SECONDS)).contains("id=gone");
+    }
+
+    @Test
+    void toldToStopItAnswersWhatItHasAndEnds() throws Exception {
+        Client c = start();
+        Client idle = client();
+        BlockingQueue<Boolean> stopped = new LinkedBlockingQueue<>();
+        primary.script((sql, s) -> {
+            if (stopped.poll() == null) {
+                stopped.add(true);
+                driver.destroy();
+                assertThat(idle.heard()).containsExactly("end");
+            }
+            s.row("after all", true);
+        });
+        assertThat(c.ask(write("w")).heard()).containsExactly("row after all");
+        assertThat(c.heard()).containsExactly("end");
+        assertThat(driver.waitFor(20, TimeUnit.SECONDS)).isTrue();
+        assertThat(driver.exitValue()).isEqualTo(143);
+    }
+
+    @Test
+    void badInputGetsAnErrorAndReachesNoMember() throws Exception {
+        Client c = start();
+        for (String bad : new String[] {"SELECT 1", "/* c=look,d=9,cluster=7 */ SELECT v FROM records WHERE k = 'a'",
+            read("a") + "; " + read("b")}) {
+            assertThat(c.ask(bad).heard()).containsExactly("error 08P01");
+        }
+        assertThat(c.ask(read("a").replace("c=look", "c=other")).heard()).containsExactly("error 42704");
+        assertThat(c.ask(read("a").replace("cluster=7", "cluster=8")).heard()).containsExactly("error 42704");
+        c.raw(message('P', text(""), text(read("x"))), message('B'), message('E'), message('S'));
+        assertThat(c.heard()).containsExactly("error 0A000");
+        assertThat(c.raw(new byte[] {1, 2, 3}).heard()).containsExactly("error 08P01", "end");
+        Client cancels = new Client(port).raw(ByteBuffer.allocate(16).putInt(16).putInt(80877102).array());
+        assertThat(cancels.heard()).containsExactly("end");
+        Client tls = new Client(port).raw(ByteBuffer.allocate(8).putInt(8).putInt(80877103).array());
+        assertThat(tls.one()).isEqualTo('N');
+        assertThat(tls.startup().heard()).isEmpty();
+        assertThat(primary.queries).isEmpty();
+        assertThat(replica.queries).isEmpty();
+        assertThat(tls.ask(read("good")).heard()).containsExactly("row from replica");
+    }
+
+    @Test
+    void withoutAConfigurationItEndsWithOneLine() throws Exception {
+        for (String config : new String[] {"", dir.resolve("none.json").toString(),
+            Files.writeString(dir.resolve("broken.json"), "{\"listen\":").toString(),
+            Files.writeString(dir.resolve("short.json"), "{\"listen\":\"127.0.0.1:0\"}").toString()}) {
+            driver = process(config);
+            assertThat(driver.inputReader(StandardCharsets.UTF_8).lines().toList()).hasSize(1);
+            assertThat(driver.waitFor()).isEqualTo(2);
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/wingroad/driver/MembersTest.java
@@ -0,0 +1,223 @@
+package wingroad.driver;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static wingroad.Given.DESCRIPTION;
+import static wingroad.Given.READY;
+import static wingroad.Given.column;
+import static wingroad.Given.entry;
+import static wingroad.Given.message;
+import static wingroad.Given.text;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.Map;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Test;
+import wingroad.Given.Script;
+import wingroad.Given.StandInMember;
+import wingroad.protocol.MemberList;
+import wingroad.protocol.Statement;
+import wingroad.state.Submission.End;
+import wingroad.transport.Loop;
+
+/** How each way in which a member can answer, or not answer, ends a submission. */
+class MembersTest {
+    private static final Duration CONNECT = Duration.ofSeconds(5);
+    private static final Duration LONG = Duration.ofSeconds(15);
+
+    private final BlockingQueue<Ended> ends = new LinkedBlockingQueue<>();
+    private final Loop loop = loop(900);
+    private final Clock clock = new Clock();
+    private Members members = members(CONNECT);
+    private int submissions;
+
+    private record Ended(End end, Exchange.Told told, byte[] row) {
+    }
+
+    private static Loop loop(int most) {
+        try {
+            return new Loop(most, 1 << 24, bug -> {
+                throw new AssertionError(bug);
+            });
+        } catch (IOException e) {
+            throw new AssertionError(e);
+        }
+    }
+
+    private Members members(Duration connectTime) {
+        return new Members(loop, clock, new Tally(), Map.of("connect-time-out", connectTime, "idle-time",
+            Duration.ofSeconds(30)), new Results() {
+                @Override
+                public void ended(Exchange.Errand e, End end, Duration took, Exchange.Told told, byte[] row) {
+                    ends.add(new Ended(end, told, row));
+                }
+
+                @Override
+                public void probed(long member, boolean answered, Duration took, Exchange.Report report) {
+                    ends.add(new Ended(answered ? End.COMMITTED : End.ERROR, new Exchange.Told(report.role(),
+                        report.position(), report), null));
+                }
+
+                @Override
+                public boolean makeRoom() {
+                    return false;
+                }
+            });
+    }
+
+    private Ended next() throws InterruptedException {
+        Ended e = ends.poll(20, TimeUnit.SECONDS);
+        assertThat(e).as("an end").isNotNull();
+        return e;
+    }
+
+    private void carry(int port, Duration wait) {
+        loop.run(() -> {
+            long id = members.listed(MemberList.parse(("{\"rev\":1,\"all\":true,\"targets\":[" + entry("s-" + port, port,
+                "ready") + "]}").getBytes(StandardCharsets.UTF_8)).list().entries().get(0));
+            Statement s = Statement.parse(wingroad.Given.read("r" + submissions).getBytes(StandardCharsets.UTF_8))
+                .statement();
+            members.carry(new Exchange.Errand("t", submissions++, id, s, clock.now().plus(wait)));
+        });
+    }
+
+    /** How one submission ends at a member that does this with it. */
+    private Ended end(Script script) throws Exception {
+        try (StandInMember m = new StandInMember(false, script)) {
+            carry(m.port(), LONG);
+            return next();
+        }
+    }
+
+    @Test
+    void aRowIsCommittedWithItsRoleAndPosition() throws Exception {
+        Ended e = end((sql, s) -> s.row("val", true));
+        assertThat(e.end()).isEqualTo(End.COMMITTED);
+        assertThat(e.told().role().name()).isEqualTo("PRIMARY");
+        assertThat(e.told().position()).isBetween(clock.now().minusSeconds(20), clock.now());
+        assertThat(e.row()).startsWith(message('T', DESCRIPTION));
+    }
+
+    @Test
+    void eachErrorCodeHasItsEnd() throws Exception {
+        assertThat(end((sql, s) -> s.error("25006", false)).end()).isEqualTo(End.MISSED);
+        assertThat(end((sql, s) -> s.error("72000", false)).end()).isEqualTo(End.MISSED);
+        assertThat(end((sql, s) -> s.error("53300", false)).end()).isEqualTo(End.FULL);
+        assertThat(end((sql, s) -> s.error("XX000", false)).end()).isEqualTo(End.ERROR);
+        assertThat(end((sql, s) -> s.error("08P01", false)).end()).isEqualTo(End.ERROR);
+    }
+
+    @Test
+    void aConnectionThatBreaksAfterTheLastByteMayHaveRun() throws Exception {
+        assertThat(end((sql, s) -> s.end()).end()).isEqualTo(End.RESET);
+        assertThat(end((sql, s) -> {
+            s.raw(message('T', DESCRIPTION), new byte[] {'D', 0, 0, 0, 50, 0});
+            s.end();
+        }).end()).isEqualTo(End.RESET);
+    }
+
+    @Test
+    void anAnswerThatMakesNoSenseMayHaveRunAndEndsItsConnection() throws Exception {
+        for (byte[] bad : new byte[][] {READY, message('?'), {'D', 127, 0, 0, 0}, message('D', column("x"))}) {
+            assertThat(end((sql, s) -> s.raw(bad)).end()).isEqualTo(End.RESET);
+        }
+    }
+
+    @Test
+    void aWholeAnswerCountsWhereOnlyReadyIsMissing() throws Exception {
+        assertThat(end((sql, s) -> {
+            s.raw(message('T', DESCRIPTION), message('D', column("x")), message('C', text("SELECT 1")));
+            s.end();
+        }).end()).isEqualTo(End.COMMITTED);
+    }
+
+    @Test
+    void whereNothingCouldBeWrittenNothingRan() throws Exception {
+        try (StandInMember m = new StandInMember(false, (sql, s) -> s.row("x", false))) {
+            m.welcome = new byte[] {'E', 0, 0, 0, 14, 'C', '5', '7', 'P', '0', '3', 0, 0, 0, 0};
+            carry(m.port(), LONG);
+            assertThat(next().end()).isEqualTo(End.UNREACHABLE);
+            m.welcome = message('E', text("SFATAL"), text("C53300"), new byte[1]);
+            carry(m.port(), LONG);
+            assertThat(next().end()).isEqualTo(End.FULL);
+            assertThat(m.queries).isEmpty();
+        }
+        int nobody;
+        try (ServerSocket s = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            nobody = s.getLocalPort();
+        }
+        carry(nobody, LONG);
+        assertThat(next().end()).isEqualTo(End.UNREACHABLE);
+    }
+
+    @Test
+    void aMemberThatNeverLetsInIsUnreachableAndNothingIsSent() throws Exception {
+        members = members(Duration.ofMillis(50));
+        try (ServerSocket silent = new ServerSocket(0, 5, InetAddress.getLoopbackAddress())) {
+            carry(silent.getLocalPort(), LONG);
+            assertThat(next().end()).isEqualTo(End.UNREACHABLE);
+        }
+    }
+
+    @Test
+    void silenceTimesOutAndClosesItsConnection() throws Exception {
+        BlockingQueue<String> closed = new LinkedBlockingQueue<>();
+        try (StandInMember m = new StandInMember(false, (sql, s) -> {
+            s.awaitEnd();
+            closed.add(sql);
+        })) {
+            carry(m.port(), Duration.ofMillis(100));
+            assertThat(next().end()).isEqualTo(End.TIMED_OUT);
+            assertThat(closed.poll(20, TimeUnit.SECONDS)).contains("id=r0");
+        }
+    }
+
+    @Test
+    void oneThatIsCalledOffClosesItsConnection() throws Exception {
+        BlockingQueue<String> closed = new LinkedBlockingQueue<>();
+        try (StandInMember m = new StandInMember(false, (sql, s) -> {
+            s.awaitEnd();
+            closed.add(sql);
+        })) {
+            carry(m.port(), LONG);
+            m.await();
+            loop.run(() -> members.callOff("t", 0));
+            assertThat(next().end()).isEqualTo(End.CANCELLED);
+            assertThat(closed.poll(20, TimeUnit.SECONDS)).contains("id=r0");
+        }
+    }
+
+    @Test
+    void connectionsAreUsedAgainButNotAfterDoubt() throws Exception {
+        try (StandInMember m = new StandInMember(false, (sql, s) -> s.row("x", false))) {
+            for (int i = 0; i < 3; i++) {
+                carry(m.port(), LONG);
+                assertThat(next().end()).isEqualTo(End.COMMITTED);
+            }
+            assertThat(m.connections).hasValue(1);
+            m.script((sql, s) -> s.end());
+            carry(m.port(), LONG);
+            assertThat(next().end()).isEqualTo(End.RESET);
+            m.script((sql, s) -> s.error("25006", false));
+            carry(m.port(), LONG);
+            assertThat(next().end()).isEqualTo(End.MISSED);
+            assertThat(m.connections).hasValue(2);
+            assertThat(m.queries).hasSize(5);
+        }
+    }
+
+    @Test
+    void theTimeLeftIsWhatTheMemberIsTold() throws Exception {
+        try (StandInMember m = new StandInMember(false, (sql, s) -> s.row("x", false))) {
+            carry(m.port(), Duration.ofMillis(900));
+            String sql = m.await();
+            assertThat(Integer.parseInt(sql.replaceAll(".*d=([0-9]+).*", "$1"))).isBetween(1, 900);
+            assertThat(sql.replaceAll("d=[0-9]+", "d=3000")).isEqualTo(wingroad.Given.read("r0"));
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/wingroad/protocol/ClientInputTest.java
@@ -0,0 +1,81 @@
+package wingroad.protocol;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static wingroad.Given.STARTUP;
+import static wingroad.Given.message;
+import static wingroad.Given.read;
+import static wingroad.Given.text;
+
+import java.io.ByteArrayOutputStream;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+import wingroad.protocol.ClientInput.Kind;
+
+class ClientInputTest {
+
+    private static byte[] joined(byte[]... parts) {
+        ByteArrayOutputStream all = new ByteArrayOutputStream();
+        for (byte[] p : parts) {
+            all.writeBytes(p);
+        }
+        return all.toByteArray();
+    }
+
+    /** The messages in the bytes when they come in pieces of the size. */
+    private static List<ClientInput.Message> in(byte[] bytes, int piece) {
+        ClientInput input = new ClientInput();
+        List<ClientInput.Message> all = new ArrayList<>();
+        ByteBuffer seen = ByteBuffer.wrap(bytes);
+        for (int end = Math.min(piece, bytes.length);; end = Math.min(end + piece, bytes.length)) {
+            seen.limit(end);
+            for (var m = input.next(seen); m != null; m = input.next(seen)) {
+                all.add(m);
+                if (m.kind() == Kind.BROKEN) {
+                    return all;
+                }
+            }
+            if (end == bytes.length) {
+                return all;
+            }
+        }
+    }
+
+    @ParameterizedTest
+    @ValueSource(ints = {1, 2, 3, 7, 1000})
+    void commandsAreCutOutWhereverTheBytesAreSplit(int piece) {
+        byte[] tls = ByteBuffer.allocate(8).putInt(8).putInt(80877103).array();
+        byte[] bytes = joined(tls, STARTUP, message('Q', text(read("x1"))), message('Q', text("")),
+            message('P', text("s")), message('S'), message('X'));
+        List<ClientInput.Message> all = in(bytes, piece);
+        assertThat(all).extracting(ClientInput.Message::kind).containsExactly(Kind.ENCRYPTION, Kind.STARTUP,
+            Kind.QUERY, Kind.QUERY, Kind.EXTENDED, Kind.SYNC, Kind.TERMINATE);
+        assertThat(new String(all.get(2).bytes(), StandardCharsets.UTF_8)).isEqualTo(read("x1"));
+    }
+
+    @Test
+    void startupsThatMakeNoSenseBreakTheStreamAtOnce() {
+        assertThat(in(new byte[] {0, 0, 0, 3, 0, 0}, 1).get(0).kind()).isEqualTo(Kind.BROKEN);
+        assertThat(in(new byte[] {'G', 'E', 'T', ' ', '/', 0, 0, 0}, 1).get(0).kind()).isEqualTo(Kind.BROKEN);
+        byte[] old = ByteBuffer.allocate(8).putInt(100).putInt(2 << 16).array();
+        assertThat(in(old, 8).get(0).why()).isEqualTo("unsupported frontend protocol 2.0");
+        byte[] cancel = ByteBuffer.allocate(16).putInt(16).putInt(80877102).array();
+        assertThat(in(cancel, 5).get(0).kind()).isEqualTo(Kind.CANCEL);
+        byte[] newer = STARTUP.clone();
+        newer[7] = 2;
+        assertThat(in(newer, 5).get(0).kind()).isEqualTo(Kind.NEWER_STARTUP);
+    }
+
+    @Test
+    void commandsThatMakeNoSenseBreakTheStreamAtOnce() {
+        for (byte[] bad : new byte[][] {{'Q', 0, 0, 0, 3}, {'Q', 127, 0, 0, 0}, {'Q', -1, 0, 0, 0}, {7},
+            {'Q', 0, 0, 0, 5, 'x'}, {'Q', 0, 0, 0, 4}, {'p', 0, 0, 0, 4}}) {
+            assertThat(in(joined(STARTUP, bad), 1)).extracting(ClientInput.Message::kind)
+                .containsExactly(Kind.STARTUP, Kind.BROKEN);
+        }
+    }
+}
--- a/src/test/java/wingroad/routing/TxnRouterTest.java
+++ b/src/test/java/wingroad/routing/TxnRouterTest.java
@@ -1,12 +1,13 @@
 package wingroad.routing;
 
 import static org.assertj.core.api.Assertions.assertThat;
-import static wingroad.routing.Given.READ;
-import static wingroad.routing.Given.WRITE;
-import static wingroad.routing.Given.at;
+import static wingroad.Given.READ;
+import static wingroad.Given.WRITE;
+import static wingroad.Given.at;
 
 import java.util.List;
 import org.junit.jupiter.api.Test;
+import wingroad.Given;
 import wingroad.routing.Decision.Kind;
 import wingroad.state.Member.Role;
 import wingroad.state.Submission.End;
@@ -426,4 +427,15 @@
         g.txn(10, "w", WRITE, 3000);
         assertThat(of(Kind.DECLINE, g.until(4000))).extracting(Decision::txn).containsExactly("r", "w");
     }
+
+    @Test
+    void whatIsOutForAClientThatLeftIsCalledOff() {
+        Given g = new Given().group(1, 2).roles(5, 2);
+        g.txn(10, "w", WRITE, 3000);
+        assertThat(of(Kind.SUBMIT, g.decisions(10))).hasSize(1);
+        g.router.txnLapsed(at(20), "w");
+        assertThat(of(Kind.CANCEL, g.decisions(20))).extracting(Decision::txn).containsExactly("w");
+        g.ends(21, "w", 0, 1, End.CANCELLED, Role.UNKNOWN);
+        assertThat(g.decisions(21)).isEmpty();
+    }
 }
--- /dev/null
+++ b/src/test/java/wingroad/transport/LinkTest.java
@@ -0,0 +1,106 @@
+package wingroad.transport;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.ByteBuffer;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Test;
+
+class LinkTest {
+    private final BlockingQueue<String> heard = new LinkedBlockingQueue<>();
+
+    /** An owner that sends these bytes and takes what comes in pieces of five. */
+    private Link.Owner owner(Link[] link, byte[] first) {
+        return new Link.Owner() {
+            @Override
+            public void up() {
+                link[0].send(ByteBuffer.wrap(first));
+            }
+
+            @Override
+            public void bytes(ByteBuffer in) {
+                while (in.remaining() >= 5) {
+                    byte[] five = new byte[5];
+                    in.get(five);
+                    heard.add(new String(five));
+                }
+            }
+
+            @Override
+            public void written() {
+                heard.add("written");
+            }
+
+            @Override
+            public void full() {
+                heard.add("full");
+            }
+
+            @Override
+            public void ended(int unwritten, String how) {
+                heard.add(unwritten > 0 ? "ended, unwritten" : "ended, all written");
+            }
+        };
+    }
+
+    private String next() throws InterruptedException {
+        return heard.poll(20, TimeUnit.SECONDS);
+    }
+
+    private Loop open(ServerSocket to, byte[] first) throws Exception {
+        Loop loop = new Loop(10, 1 << 20, bug -> heard.add("bug " + bug));
+        Link[] link = new Link[1];
+        loop.run(() -> {
+            try {
+                link[0] = Link.open(loop, (InetSocketAddress) to.getLocalSocketAddress(), owner(link, first), 64);
+            } catch (java.io.IOException e) {
+                heard.add("bug " + e);
+            }
+        });
+        return loop;
+    }
+
+    @Test
+    void aBreakBeforeTheLastByteIsToldFromOneAfterIt() throws Exception {
+        try (ServerSocket door = new ServerSocket(0, 5, InetAddress.getLoopbackAddress())) {
+            // More than the system takes in for a reader that never reads.
+            open(door, new byte[64 << 20]);
+            Socket s = door.accept();
+            s.getInputStream().read();
+            s.close();
+            assertThat(next()).isEqualTo("ended, unwritten");
+            open(door, new byte[10]);
+            s = door.accept();
+            assertThat(next()).isEqualTo("written");
+            s.close();
+            assertThat(next()).isEqualTo("ended, all written");
+        }
+    }
+
+    @Test
+    void moreThanTheBufferHoldsComesThroughInOrder() throws Exception {
+        try (ServerSocket door = new ServerSocket(0, 5, InetAddress.getLoopbackAddress())) {
+            Loop loop = open(door, new byte[1]);
+            Socket s = door.accept();
+            assertThat(next()).isEqualTo("written");
+            StringBuilder all = new StringBuilder();
+            for (int i = 10000; i < 12000; i++) {
+                all.append(i);
+            }
+            s.getOutputStream().write(all.toString().getBytes());
+            for (int i = 10000; i < 12000; i++) {
+                assertThat(next()).isEqualTo(Integer.toString(i));
+            }
+            s.close();
+            assertThat(next()).isEqualTo("ended, all written");
+            assertThat(loop.channelsLeft()).isEqualTo(10);
+            assertThat(loop.held()).isZero();
+        }
+    }
+}
