A submission that waited for its connection asks the module again before it is sent

Checked by reading: opening takes up to the connect time-out, in which the txn may get its answer elsewhere (rule 1), the member may be told to drain (rule 3: a primary is used until 10 ms before the grace ends) or the data may grow too old (rule 5: 5 ms of margin at the decision). MemberLink sent regardless. Router.mayStillGo asks; the end is MOOT. Names in place of addresses are turned away by the list's reader: looking one up would block the thread.

--- a/src/main/java/wingroad/driver/Exchange.java
+++ b/src/main/java/wingroad/driver/Exchange.java
@@ -151,6 +151,11 @@
         router().probeEnded(now, member, answered, took);
     }
 
+    @Override
+    public boolean mayStillGo(Errand e) {
+        return e.probe() || open.containsKey(e.txn()) && router.mayStillGo(clock.now(), e.txn(), e.member());
+    }
+
     @Override
     public boolean makeRoom() {
         return room.getAsBoolean();
@@ -193,7 +198,7 @@
             wake = loop.after(at.minus(clock.now()), () -> {
                 wakeAt = null;
                 wake = null;
-                pull();
+                changed();
             });
         }
     }
--- a/src/main/java/wingroad/driver/MemberLink.java
+++ b/src/main/java/wingroad/driver/MemberLink.java
@@ -109,10 +109,14 @@
         if (stage == Stage.STARTING && input.error() == null) {
             startTimer.cancel();
             input.clear();
-            if (errand == null) {
-                idle();
-            } else {
+            if (side.mayStillGo(errand)) {
                 sendOut();
+            } else {
+                Errand late = errand;
+                errandTimer.cancel();
+                errand = null;
+                idle();
+                side.failed(late, End.MOOT, Duration.ZERO, "no longer to be sent");
             }
             return;
         }
--- a/src/main/java/wingroad/driver/Members.java
+++ b/src/main/java/wingroad/driver/Members.java
@@ -145,6 +145,10 @@
         }
     }
 
+    boolean mayStillGo(Errand e) {
+        return results.mayStillGo(e);
+    }
+
     void answered(Errand e, Answer a, Duration took) {
         if (e.probe()) {
             results.probed(e.member(), a.asked != null, took, a.asked != null ? a.asked : a.told.report());
--- a/src/main/java/wingroad/driver/Results.java
+++ b/src/main/java/wingroad/driver/Results.java
@@ -12,6 +12,9 @@
     /** A probe has ended; {@code report} is null where it found nothing. */
     void probed(long member, boolean answered, Duration took, Exchange.Report report);
 
+    /** Whether an errand that waited for its connection is still to be sent. */
+    boolean mayStillGo(Errand e);
+
     /** Asks for a connection to be closed elsewhere; false where there is none to close. */
     boolean makeRoom();
 }
--- a/src/main/java/wingroad/protocol/MemberList.java
+++ b/src/main/java/wingroad/protocol/MemberList.java
@@ -9,6 +9,9 @@
 
 /** Discovery's list: whole, or the entries that changed since an earlier version. */
 public record MemberList(long version, boolean whole, List<Entry> entries) {
+    /** Numbers only: to look a name up would hold up everything else. */
+    private static final String OCTET = "(25[0-5]|2[0-4][0-9]|1?[0-9]?[0-9])";
+    private static final String LITERAL = OCTET + "(\\." + OCTET + "){3}|\\[[0-9a-fA-F:.]*:[0-9a-fA-F:.]*\\]";
 
     /** One member; {@code startedAt} is in Unix milliseconds, 0 for long ago. */
     public record Entry(String uid, String host, int port, String zone, String kind, int group, String state,
@@ -49,6 +52,9 @@
                 || Integer.parseInt(address.substring(colon + 1)) > 0xffff) {
                 throw new Json.Malformed("an endpoint is no address");
             }
+            if (!address.substring(0, colon).matches(LITERAL)) {
+                throw new Json.Malformed("an endpoint has no address but a name");
+            }
             Object role = e.get("part");
             entries.add(new Entry(Json.text(e, "uid"), address.substring(0, colon),
                 Integer.parseInt(address.substring(colon + 1)), word(e, "az"), word(e, "model"),
--- a/src/main/java/wingroad/protocol/Statement.java
+++ b/src/main/java/wingroad/protocol/Statement.java
@@ -43,7 +43,7 @@
             String name = s.substring(at, equals).strip();
             String value = s.substring(equals + 1, to).strip();
             if (names.put(name, value) != null) {
-                return wrong("the comment repeats " + (name.length() < 20 ? name : "a name"));
+                return wrong("the comment repeats a name");
             }
             if (name.equals("d")) {
                 leftFrom = s.indexOf(value, equals + 1);
--- a/src/main/java/wingroad/routing/Router.java
+++ b/src/main/java/wingroad/routing/Router.java
@@ -52,6 +52,12 @@
     /** A probe has ended; what it found was given to {@link #reported} before. */
     void probeEnded(Duration now, long member, boolean answered, Duration took);
 
+    /**
+     * Asked by a host for which time passes between the decision to submit and the sending, because a connection
+     * has to be opened: whether the submission is still to be sent. If not, it ends as never sent.
+     */
+    boolean mayStillGo(Duration now, String txn, long member);
+
     /** The client has left; no answer is owed. */
     void txnLapsed(Duration now, String txn);
 
--- a/src/main/java/wingroad/routing/TxnRouter.java
+++ b/src/main/java/wingroad/routing/TxnRouter.java
@@ -134,7 +134,7 @@
                        boolean draining, boolean gone, Duration startedAt) {
         Member m = members.computeIfAbsent(id, i -> new Member(i, memory));
         if (m.group == null) {
-            m.group = groups.computeIfAbsent(group, i -> newGroup(i, now));
+            m.group = groups.computeIfAbsent(group, i -> new Group(i, SPILL_SHARE));
             m.group.members.add(m);
             m.limit = FIRST_LIMIT;
         }
@@ -156,12 +156,6 @@
         touch(m.group);
     }
 
-    private Group newGroup(int id, Duration now) {
-        Group g = new Group(id);
-        g.spillShare = SPILL_SHARE;
-        return g;
-    }
-
     private void tellStop(Member m, boolean stop, boolean gone, Duration now) {
         m.stopTold = !stop ? null : m.stopTold == null ? now : m.stopTold;
         m.gone = gone;
@@ -193,7 +187,7 @@
     @Override
     public void txnArrived(Duration now, String id, int type, int group, Duration left, long session,
                            Duration sinceWrite, boolean retry) {
-        Group g = groups.computeIfAbsent(group, i -> newGroup(i, now));
+        Group g = groups.computeIfAbsent(group, i -> new Group(i, SPILL_SHARE));
         Txn t = new Txn(id, types[type], g, now, now.plus(left), session, retry);
         // The SLA time runs from the client's first try. A try with less time than others of its type get is
         // a later one: what its client has left of the expiry tells how long ago the first was. Where clients
@@ -300,6 +294,16 @@
         }
     }
 
+    /** Guards the rules on drains, old data and answered txns against changes while a connection opens. */
+    @Override
+    public boolean mayStillGo(Duration now, String id, long member) {
+        Txn t = txns.get(id);
+        Member m = members.get(member);
+        Duration need = t == null || checked || m == m.group.primary ? null : needs(t, now);
+        return t != null && !mustStop(m, now, m == m.group.primary)
+            && (need == null || m.position != null && m.position.compareTo(need) >= 0);
+    }
+
     // ---- decisions ----
 
     @Override
@@ -619,12 +623,7 @@
     }
 
     private static boolean missedAt(Txn t, Member m) {
-        for (Submission s : t.submissions) {
-            if (s.member == m && (s.out() || s.end == End.MISSED)) {
-                return true;
-            }
-        }
-        return false;
+        return t.submissions.stream().anyMatch(s -> s.member == m && (s.out() || s.end == End.MISSED));
     }
 
     /** The position that a read's data must have reached, or null; a step more than the bound asks for. */
--- a/src/main/java/wingroad/state/Group.java
+++ b/src/main/java/wingroad/state/Group.java
@@ -29,7 +29,8 @@
     /** How old the newest report was in which its primary called itself so. */
     public Duration reportAge = Duration.ZERO;
 
-    public Group(int id) {
+    public Group(int id, double spillShare) {
         this.id = id;
+        this.spillShare = spillShare;
     }
 }
--- a/src/main/java/wingroad/transport/Loop.java
+++ b/src/main/java/wingroad/transport/Loop.java
@@ -52,7 +52,7 @@
     private void guarded(Runnable task) {
         try {
             task.run();
-        } catch (RuntimeException | StackOverflowError bug) {
+        } catch (RuntimeException | Error bug) {
             onBug.accept(bug);
         }
     }
--- a/src/test/java/wingroad/driver/MembersTest.java
+++ b/src/test/java/wingroad/driver/MembersTest.java
@@ -35,6 +35,7 @@
     private final Clock clock = new Clock();
     private Members members = members(CONNECT);
     private int submissions;
+    private volatile boolean mayGo = true;
 
     private record Ended(End end, Exchange.Told told, byte[] row) {
     }
@@ -63,6 +64,11 @@
                         report.position(), report), null));
                 }
 
+                @Override
+                public boolean mayStillGo(Exchange.Errand e) {
+                    return mayGo;
+                }
+
                 @Override
                 public boolean makeRoom() {
                     return false;
@@ -211,6 +217,19 @@
         }
     }
 
+    @Test
+    void whatIsNoLongerToGoWhenItsConnectionIsUpIsNeverSent() throws Exception {
+        mayGo = false;
+        try (StandInMember m = new StandInMember(false, (sql, s) -> s.row("x", false))) {
+            carry(m.port(), LONG);
+            assertThat(next().end()).isEqualTo(End.MOOT);
+            carry(m.port(), LONG);
+            assertThat(next().end()).isEqualTo(End.COMMITTED);
+            assertThat(m.connections).hasValue(1);
+            assertThat(m.queries).hasSize(1).first().asString().contains("id=r1");
+        }
+    }
+
     @Test
     void theTimeLeftIsWhatTheMemberIsTold() throws Exception {
         try (StandInMember m = new StandInMember(false, (sql, s) -> s.row("x", false))) {
--- a/src/test/java/wingroad/protocol/HttpReplyTest.java
+++ b/src/test/java/wingroad/protocol/HttpReplyTest.java
@@ -83,7 +83,9 @@
         assertThat(list.entries().get(0).draining()).isTrue();
         assertThat(list.entries().get(0).port()).isEqualTo(5433);
         for (String bad : new String[] {"", "[]", "{", "{\"rev\":1}", "{\"rev\":1,\"targets\":[3]}", "nope",
-            "{\"rev\":1,\"targets\":[{\"uid\":\"a\",\"endpoint\":\"nowhere\"}]}", "[".repeat(100_000)}) {
+            "{\"rev\":1,\"targets\":[{\"uid\":\"a\",\"endpoint\":\"nowhere\"}]}",
+            "{\"rev\":1,\"targets\":[{\"uid\":\"a\",\"endpoint\":\"some.host:80\"}]}",
+            "{\"rev\":1,\"targets\":[{\"uid\":\"a\",\"endpoint\":\"256.0.0.1:80\"}]}", "[".repeat(100_000)}) {
             assertThat(MemberList.parse(bad.getBytes(StandardCharsets.UTF_8)).list()).as(bad).isNull();
         }
     }
--- a/src/test/java/wingroad/routing/TxnRouterTest.java
+++ b/src/test/java/wingroad/routing/TxnRouterTest.java
@@ -438,4 +438,20 @@
         g.ends(21, "w", 0, 1, End.CANCELLED, Role.UNKNOWN);
         assertThat(g.decisions(21)).isEmpty();
     }
+
+    @Test
+    void whatWaitedForItsConnectionGoesOnlyWhileTheRulesAllowIt() {
+        Given g = new Given().group(1, 2, 3).roles(5, 2, 3);
+        g.txn(10, "r", READ, 2000);
+        long m = of(Kind.SUBMIT, g.decisions(10)).get(0).member();
+        assertThat(g.router.mayStillGo(at(200), "r", m)).isTrue();
+        assertThat(g.router.mayStillGo(at(1100), "r", m)).as("its data is too old by then").isFalse();
+        assertThat(g.router.mayStillGo(at(1100), "r", 1)).as("the primary's never is").isTrue();
+        g.router.listStarts(at(300), false);
+        g.listed(300, m, true, null);
+        g.router.listEnds(at(300));
+        assertThat(g.router.mayStillGo(at(300), "r", m)).as("it drains").isFalse();
+        g.router.txnLapsed(at(301), "r");
+        assertThat(g.router.mayStillGo(at(301), "r", 1)).as("nobody waits for it").isFalse();
+    }
 }
--- a/src/test/java/wingroad/transport/LinkTest.java
+++ b/src/test/java/wingroad/transport/LinkTest.java
@@ -7,12 +7,15 @@
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.ByteBuffer;
+import java.util.Set;
 import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
 
 class LinkTest {
+    private final Set<String> threads = ConcurrentHashMap.newKeySet();
     private final BlockingQueue<String> heard = new LinkedBlockingQueue<>();
 
     /** An owner that sends these bytes and takes what comes in pieces of five. */
@@ -25,6 +28,7 @@
 
             @Override
             public void bytes(ByteBuffer in) {
+                threads.add(Thread.currentThread().getName());
                 while (in.remaining() >= 5) {
                     byte[] five = new byte[5];
                     in.get(five);
@@ -34,6 +38,7 @@
 
             @Override
             public void written() {
+                threads.add(Thread.currentThread().getName());
                 heard.add("written");
             }
 
@@ -101,6 +106,7 @@
             assertThat(next()).isEqualTo("ended, all written");
             assertThat(loop.channelsLeft()).isEqualTo(10);
             assertThat(loop.held()).isZero();
+            assertThat(threads).containsExactly("wingroad");
         }
     }
 }
