--- a/src/test/java/wingroad/Given.java
+++ b/src/test/java/wingroad/Given.java
@@ -280,6 +280,8 @@
     /** A member list on a port of its own: each watch waits until there is a newer list. */
     public static final class StandInDiscovery implements AutoCloseable {
         private final ServerSocket door = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
+        /** What calls get instead of an answer, one each. */
+        public final BlockingQueue<String> broken = new LinkedBlockingQueue<>();
         private String list = "";
         private int version;
 
@@ -295,7 +297,11 @@
         private void serve(Socket s) throws IOException, InterruptedException {
             BufferedReader in = new BufferedReader(new InputStreamReader(s.getInputStream(), StandardCharsets.UTF_8));
             for (String line = in.readLine(); line != null; line = in.readLine()) {
-                if (line.startsWith("GET ")) {
+                String wrong = line.startsWith("GET ") ? broken.poll() : null;
+                if (wrong != null) {
+                    s.getOutputStream().write(wrong.getBytes(StandardCharsets.UTF_8));
+                    s.close();
+                } else if (line.startsWith("GET ")) {
                     int since = Integer.parseInt(line.replaceAll(".*since=([0-9]+).*", "$1"));
                     byte[] body = newer(since).getBytes(StandardCharsets.UTF_8);
                     s.getOutputStream().write(("HTTP/1.1 200 OK\r\nContent-Length: " + body.length + "\r\n\r\n")
--- a/src/test/java/wingroad/driver/DriverIT.java
+++ b/src/test/java/wingroad/driver/DriverIT.java
@@ -61,10 +61,14 @@
     }
 
     private Client start() throws Exception {
+        return start(1024);
+    }
+
+    private Client start(int descriptors) throws Exception {
         String known = entry("s-1", primary.port(), "ready") + "," + entry("s-2", replica.port(), "ready");
         Path config = Files.writeString(dir.resolve("config.json"), "{\"name\":\"n\",\"listen\":\"127.0.0.1:0\","
             + "\"discovery\":\"127.0.0.1:" + discovery.port() + "\",\"seed\":\"8c1f30d27a5be964\",\"new\":{},"
-            + "\"limits\":{\"cores\":1.0,\"memory_mb\":192,\"sockets\":1024},\"known\":{\"rev\":0,\"all\":true,"
+            + "\"limits\":{\"cores\":1.0,\"memory_mb\":192,\"sockets\":" + descriptors + "},\"known\":{\"rev\":0,\"all\":true,"
             + "\"targets\":[" + known + "]},\"settings\":" + Given.SETTINGS + "}");
         driver = process(config.toString());
         BufferedReader log = driver.inputReader(StandardCharsets.UTF_8);
@@ -174,6 +178,91 @@
         }
     }
 
+    @Test
+    void aMemberIsFollowedToItsNewAddress() throws Exception {
+        Client c = start();
+        assertThat(c.ask(read("a")).heard()).containsExactly("row from replica");
+        try (StandInMember moved = new StandInMember(false, (sql, s) -> s.row("from its new address", false))) {
+            replica.script((sql, s) -> s.end());
+            replica.close();
+            discovery.tell(entry("s-1", primary.port(), "ready") + "," + entry("s-2", moved.port(), "ready"));
+            String row;
+            do {
+                row = c.ask(read("b")).heard().get(0);
+            } while (!row.equals("row from its new address"));
+        }
+    }
+
+    @Test
+    void brokenAnswersOfDiscoveryLeaveTheListAndAreAskedAgain() throws Exception {
+        for (String bad : new String[] {"HTTP/1.1 500 no\r\nContent-Length: 0\r\n\r\n", "nonsense\r\n", "",
+            "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\n{x}", "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\n{"}) {
+            discovery.broken.add(bad);
+        }
+        Client c = start();
+        assertThat(c.ask(read("a")).heard()).containsExactly("row from replica");
+        try (StandInMember later = new StandInMember(false, (sql, s) -> s.row("from a later one", false))) {
+            discovery.tell(entry("s-1", primary.port(), "ready") + "," + entry("s-3", later.port(), "ready"));
+            String row;
+            do {
+                row = c.ask(read("b")).heard().get(0);
+            } while (!row.equals("row from a later one"));
+        }
+        assertThat(discovery.broken).isEmpty();
+    }
+
+    @Test
+    void aValueOfFullSizeGoesThroughBothWays() throws Exception {
+        Client c = start();
+        String value = "7f".repeat(64 * 1024);
+        String[] came = new String[1];
+        primary.script((sql, s) -> {
+            came[0] = sql;
+            s.row("z".repeat(64 * 1024), true);
+        });
+        assertThat(c.ask(write("big").replace("9f03", value)).heard()).containsExactly("row " + "z".repeat(64 * 1024));
+        assertThat(came[0].replaceAll("d=[0-9]+", "d=4000")).isEqualTo(write("big").replace("9f03", value));
+        assertThat(c.ask(write("more").replace("9f03", value + "00")).heard()).containsExactly("error 08P01");
+    }
+
+    @Test
+    void oneThatAsksMuchAndReadsLateGetsAllAnswersAndHoldsUpNobody() throws Exception {
+        Client other = start();
+        Client c = client();
+        byte[] one = message('Q', text(""));
+        ByteBuffer all = ByteBuffer.allocate(one.length * 20_000);
+        while (all.hasRemaining()) {
+            all.put(one);
+        }
+        Thread asks = new Thread(() -> {
+            try {
+                c.raw(all.array());
+            } catch (IOException e) {
+                throw new AssertionError(e);
+            }
+        });
+        asks.start();
+        assertThat(other.ask(read("a")).heard()).containsExactly("row from replica");
+        for (int i = 0; i < 20_000; i++) {
+            assertThat(c.heard()).containsExactly("empty");
+        }
+        asks.join();
+    }
+
+    @Test
+    void atTheDescriptorLimitIdleClientsGiveWayToThoseThatCome() throws Exception {
+        start(64);
+        Client last = null;
+        for (int i = 0; i < 100; i++) {
+            last = client();
+        }
+        assertThat(last.ask(read("a")).heard()).containsExactly("row from replica");
+        assertThat(last.ask(write("b")).heard()).containsExactly("row from primary");
+        try (var open = Files.list(Path.of("/proc/" + driver.pid() + "/fd"))) {
+            assertThat(open.count()).isLessThanOrEqualTo(64);
+        }
+    }
+
     @Test
     void aClientThatLeavesEndsItsSubmission() throws Exception {
         start();
--- a/src/test/java/wingroad/transport/LinkTest.java
+++ b/src/test/java/wingroad/transport/LinkTest.java
@@ -29,7 +29,7 @@
             @Override
             public void bytes(ByteBuffer in) {
                 threads.add(Thread.currentThread().getName());
-                while (in.remaining() >= 5) {
+                while (in.remaining() >= 5 && in.get(in.position()) != 'x') {
                     byte[] five = new byte[5];
                     in.get(five);
                     heard.add(new String(five));
@@ -59,11 +59,15 @@
     }
 
     private Loop open(ServerSocket to, byte[] first) throws Exception {
-        Loop loop = new Loop(10, 1 << 20, bug -> heard.add("bug " + bug));
+        return open(to, first, 64, 1 << 20);
+    }
+
+    private Loop open(ServerSocket to, byte[] first, int bound, long mostHeld) throws Exception {
+        Loop loop = new Loop(10, mostHeld, bug -> heard.add("bug " + bug));
         Link[] link = new Link[1];
         loop.run(() -> {
             try {
-                link[0] = Link.open(loop, (InetSocketAddress) to.getLocalSocketAddress(), owner(link, first), 64);
+                link[0] = Link.open(loop, (InetSocketAddress) to.getLocalSocketAddress(), owner(link, first), bound);
             } catch (java.io.IOException e) {
                 heard.add("bug " + e);
             }
@@ -88,6 +92,18 @@
         }
     }
 
+    @Test
+    void aBufferGrowsOnlyWhileThereIsMemoryForAll() throws Exception {
+        try (ServerSocket door = new ServerSocket(0, 5, InetAddress.getLoopbackAddress())) {
+            open(door, new byte[1], 1 << 20, 5000);
+            try (Socket s = door.accept()) {
+                assertThat(next()).isEqualTo("written");
+                s.getOutputStream().write("x".repeat(20_000).getBytes());
+                assertThat(next()).isEqualTo("full");
+            }
+        }
+    }
+
     @Test
     void moreThanTheBufferHoldsComesThroughInOrder() throws Exception {
         try (ServerSocket door = new ServerSocket(0, 5, InetAddress.getLoopbackAddress())) {
