--- a/src/main/java/wingroad/driver/ClientLink.java
+++ b/src/main/java/wingroad/driver/ClientLink.java
@@ -13,7 +13,7 @@
     private final ClientInput input = new ClientInput();
     private Link link;
     private int number;
-    private boolean started;
+    private boolean asked;
     /** The txn that waits for its final answer, or null. */
     private String txn;
     /** The size of its statement. */
@@ -56,7 +56,6 @@
     private void take(ClientInput.Message m) {
         switch (m.kind()) {
             case STARTUP, NEWER_STARTUP -> {
-                started = true;
                 send(new ClientOutput().welcome(m.kind() == ClientInput.Kind.NEWER_STARTUP, number));
             }
             case ENCRYPTION -> send(new ClientOutput().noEncryption());
@@ -98,6 +97,7 @@
     }
 
     private void query(byte[] text) {
+        asked = true;
         if (isBlank(text)) {
             send(new ClientOutput().emptyQuery());
             return;
@@ -150,11 +150,7 @@
     private void answer(ClientOutput out) {
         settled();
         send(out);
-        if (side.closing()) {
-            leave();
-        } else {
-            side.idles(this);
-        }
+        side.idles(this);
     }
 
     private void settled() {
@@ -169,8 +165,13 @@
 
     @Override
     public void written() {
-        if (!leaving && link.unread()) {
+        if (leaving) {
+            return;
+        }
+        if (link.unread()) {
             link.offerAgain();
+        } else if (side.closing() && asked && txn == null) {
+            leave();
         }
     }
 
@@ -180,8 +181,9 @@
         link.finish();
     }
 
-    boolean started() {
-        return started;
+    /** It has had a query at least; one that has not may be about to ask. */
+    boolean asked() {
+        return asked;
     }
 
     void close() {
--- a/src/main/java/wingroad/driver/Clients.java
+++ b/src/main/java/wingroad/driver/Clients.java
@@ -124,8 +124,7 @@
     void beginClosing() {
         closing = true;
         for (ClientLink c : new ArrayList<>(links)) {
-            if (c.started() && !c.busy()) {
-                // One that has not said a word yet may be about to ask.
+            if (c.asked() && !c.busy()) {
                 c.leave();
             }
         }
--- a/src/main/java/wingroad/driver/Discovery.java
+++ b/src/main/java/wingroad/driver/Discovery.java
@@ -16,6 +16,8 @@
     /** How long a watch may wait for news, and how much longer its answer may take. */
     private static final Duration WAIT = Duration.ofSeconds(20);
     private static final Duration GRACE = Duration.ofSeconds(1);
+    /** Half of the time within which a watch must be asked on. */
+    private static final Duration PAUSE = Duration.ofMillis(100);
 
     private final Loop loop;
     private final InetSocketAddress at;
@@ -59,6 +61,7 @@
         private Link link;
         private HttpReply reply = new HttpReply();
         private Loop.Timer timer;
+        private long askedAt;
         private boolean over;
         /** It has given a list on this connection. */
         private boolean proven;
@@ -88,6 +91,9 @@
         }
 
         private void ask() {
+            askedAt = loop.now();
+            timer.cancel();
+            await();
             String path = "/discovery/hosts" + (watches ? "?since=" + version + "&timeout_ms=" + WAIT.toMillis() : "");
             link.send(HttpReply.request(at.getHostString() + ":" + at.getPort(), path));
         }
@@ -116,8 +122,12 @@
             if (watches && !closes) {
                 // The next call is out before the news is told: nothing that changes falls between two calls.
                 reply = new HttpReply();
-                ask();
-                await();
+                if (p.list().entries().isEmpty() && loop.now() - askedAt < PAUSE.toNanos()) {
+                    // Guards against spinning where a watch does not wait; short enough for it to go on.
+                    timer = loop.after(PAUSE, this::ask);
+                } else {
+                    ask();
+                }
             } else {
                 end();
                 if (watches) {
--- a/src/main/java/wingroad/terms/Terms.java
+++ b/src/main/java/wingroad/terms/Terms.java
@@ -74,7 +74,8 @@
 
     /** What a figure in a member's report is called here; one that is not known keeps its name. */
     private static final Map<String, String> FIGURES = Map.of(
-        "x0", "position", "x1", "primary", "rif", "held", "q", "waiting");
+        "x0", "position", "x1", "primary", "rif", "held", "inflight", "held", "q", "waiting", "queue", "waiting",
+        "util", "busy");
 
     private Terms() {
     }
--- a/src/main/java/wingroad/transport/Loop.java
+++ b/src/main/java/wingroad/transport/Loop.java
@@ -49,6 +49,11 @@
         return () -> f.cancel(false);
     }
 
+    /** Nanoseconds of the monotonic clock. */
+    public long now() {
+        return System.nanoTime();
+    }
+
     private void guarded(Runnable task) {
         try {
             task.run();
--- a/src/test/java/wingroad/driver/DriverIT.java
+++ b/src/test/java/wingroad/driver/DriverIT.java
@@ -281,16 +281,24 @@
     void toldToStopItAnswersWhatItHasAndEnds() throws Exception {
         Client c = start();
         Client idle = client();
+        assertThat(idle.ask("").heard()).containsExactly("empty");
         BlockingQueue<Boolean> stopped = new LinkedBlockingQueue<>();
         primary.script((sql, s) -> {
             if (stopped.poll() == null) {
                 stopped.add(true);
                 driver.destroy();
                 assertThat(idle.heard()).containsExactly("end");
+                try (Client late = client()) {
+                    assertThat(late.ask(read("late")).heard()).containsExactly("row from replica");
+                    assertThat(late.heard()).containsExactly("end");
+                }
             }
             s.row("after all", true);
         });
-        assertThat(c.ask(write("w")).heard()).containsExactly("row after all");
+        c.raw(message('Q', text(write("w"))), message('Q', text(read("r"))), message('Q', text("")));
+        assertThat(c.heard()).containsExactly("row after all");
+        assertThat(c.heard()).containsExactly("row from replica");
+        assertThat(c.heard()).containsExactly("empty");
         assertThat(c.heard()).containsExactly("end");
         assertThat(driver.waitFor(20, TimeUnit.SECONDS)).isTrue();
         assertThat(driver.exitValue()).isEqualTo(143);
