At the descriptor limit no client is closed before its first answer

Cause: Clients.closeOneIdle took connections that had only been accepted, their first query on the way; Door.again asked for room, whose closing asked for the next accept. Ruled out: answers cut off (none was being written). Now only clients between txns give way, or those silent for longer than the longest expiry; a client counts as idle once its answer is written.

--- a/src/main/java/wingroad/driver/ClientLink.java
+++ b/src/main/java/wingroad/driver/ClientLink.java
@@ -12,7 +12,8 @@
     private final Clients side;
     private final ClientInput input = new ClientInput();
     private Link link;
-    private int number;
+    private final int number;
+    private final Duration since;
     private boolean asked;
     /** The txn that waits for its final answer, or null. */
     private String txn;
@@ -23,8 +24,9 @@
     /** Nothing more is taken; what was answered is still written. */
     private boolean leaving;
 
-    ClientLink(Clients side, int number) {
+    ClientLink(Clients side, Duration since, int number) {
         this.side = side;
+        this.since = since;
         this.number = number;
     }
 
@@ -150,7 +152,6 @@
     private void answer(ClientOutput out) {
         settled();
         send(out);
-        side.idles(this);
     }
 
     private void settled() {
@@ -170,8 +171,11 @@
         }
         if (link.unread()) {
             link.offerAgain();
-        } else if (side.closing() && asked && txn == null) {
-            leave();
+        } else if (txn == null && asked) {
+            side.idles(this);
+            if (side.closing()) {
+                leave();
+            }
         }
     }
 
@@ -186,6 +190,10 @@
         return asked;
     }
 
+    Duration since() {
+        return since;
+    }
+
     void close() {
         link.close();
         side.left(this);
--- a/src/main/java/wingroad/driver/Clients.java
+++ b/src/main/java/wingroad/driver/Clients.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.LinkedHashSet;
 import java.util.List;
@@ -21,6 +22,7 @@
     private final boolean[] updates;
     private final boolean[] ownWrites;
     private final boolean sessions;
+    private final Duration longestWait;
     private final IntPredicate groupKnown;
     /** In the order in which they were last answered, the one longest ago first. */
     private final LinkedHashSet<ClientLink> links = new LinkedHashSet<>();
@@ -38,18 +40,22 @@
         this.updates = new boolean[types.size()];
         this.ownWrites = new boolean[types.size()];
         boolean any = false;
+        Duration longest = Duration.ZERO;
         for (int i = 0; i < types.size(); i++) {
             Object reads = terms.get("txn-type." + i + ".reads");
             updates[i] = "update".equals(reads);
             ownWrites[i] = "own-writes".equals(reads);
             any |= ownWrites[i];
+            Duration expiry = (Duration) terms.get("txn-type." + i + ".expiry");
+            longest = expiry.compareTo(longest) > 0 ? expiry : longest;
         }
         this.sessions = any;
+        this.longestWait = longest;
     }
 
     void listen(InetSocketAddress at) throws IOException {
         door = new Door(loop, at, ClientInput.MOST + 1024, this::room, in -> {
-            ClientLink c = new ClientLink(this, ++numbers);
+            ClientLink c = new ClientLink(this, exchange.now(), ++numbers);
             links.add(c);
             c.begin(in.apply(c));
         });
@@ -60,15 +66,19 @@
         return door.at();
     }
 
-    /** A quarter of the descriptors is kept for members; in need, the client idle for longest goes. */
+    /** An eighth of the descriptors is kept for members; in need, the client idle for longest goes. */
     private boolean room() {
-        return loop.channelsLeft() > loop.mostChannels() / 4 || closeOneIdle();
+        return loop.channelsLeft() > loop.mostChannels() / 8 || closeOneIdle();
     }
 
-    /** Closes the connection that has been idle for longest; false where none is. */
+    /**
+     * Closes the connection that has been idle for longest; false where none is. One that has not asked yet may
+     * have its first query on the way, unless it has been there for longer than any client waits.
+     */
     boolean closeOneIdle() {
+        Duration now = exchange.now();
         for (ClientLink c : links) {
-            if (!c.busy()) {
+            if (!c.busy() && (c.asked() || now.minus(c.since()).compareTo(longestWait) > 0)) {
                 tally.count("idle client closed for room");
                 c.close();
                 return true;
--- a/src/main/java/wingroad/driver/Driver.java
+++ b/src/main/java/wingroad/driver/Driver.java
@@ -48,7 +48,7 @@
         asked = "ask".equals(terms.get("member-list"));
         // The rest is for what the program itself holds open: its archive, its polling, its log.
         // An eighth of the memory may be in flight: a statement is copied on its way, and there is the rest.
-        loop = new Loop(c.descriptors() - Math.min(64, c.descriptors() / 4), c.memory() / 8, log::fault);
+        loop = new Loop(c.descriptors() - Math.min(24, c.descriptors() / 4), c.memory() / 8, log::fault);
         Router router = new TxnRouter(terms, c.seed(), log::line);
         exchange = new Exchange(loop, clock, router, (Duration) terms.get("connect-time-out"), log::fault);
         clients = new Clients(loop, exchange, tally, c.names("grades"), terms,
--- a/src/main/java/wingroad/transport/Door.java
+++ b/src/main/java/wingroad/transport/Door.java
@@ -51,10 +51,15 @@
 
     /** Accepts the next connection, when there is room and none is being accepted. */
     public void again() {
-        if (accepting || closed || !room.getAsBoolean()) {
+        if (accepting || closed) {
             return;
         }
+        // Making room closes a connection, and its end asks for the next accept: that is this one.
         accepting = true;
+        if (!room.getAsBoolean()) {
+            accepting = false;
+            return;
+        }
         channel.accept(null, new CompletionHandler<AsynchronousSocketChannel, Void>() {
             @Override
             public void completed(AsynchronousSocketChannel guestChannel, Void nothing) {
--- a/src/test/java/wingroad/driver/DriverIT.java
+++ b/src/test/java/wingroad/driver/DriverIT.java
@@ -276,6 +276,7 @@
         Client last = null;
         for (int i = 0; i < 100; i++) {
             last = client();
+            assertThat(last.ask("").heard()).containsExactly("empty");
         }
         assertThat(last.ask(read("a")).heard()).containsExactly("row from replica");
         assertThat(last.ask(write("b")).heard()).containsExactly("row from primary");
@@ -284,6 +285,19 @@
         }
     }
 
+    @Test
+    void atTheDescriptorLimitNobodyIsClosedBeforeItsFirstAnswer() throws Exception {
+        start(64);
+        List<Client> all = new ArrayList<>();
+        for (int i = 0; i < 100; i++) {
+            all.add(new Client(port).raw(Given.STARTUP, message('Q', text(read("r" + i)))));
+        }
+        for (Client c : all) {
+            assertThat(c.heard()).isEmpty();
+            assertThat(c.heard().get(0)).isIn("row from replica", "row from primary", "error 53300");
+        }
+    }
+
     @Test
     void aClientThatLeavesEndsItsSubmission() throws Exception {
         start();
