An address that can't be bound ends the start with that one line

Seen by reading: Driver.start told the list, with a log line, and asked discovery before it listened. It listens first now, within the same task, so nobody is served earlier. Tested with an occupied port.

--- a/src/main/java/wingroad/driver/Driver.java
+++ b/src/main/java/wingroad/driver/Driver.java
@@ -79,12 +79,13 @@
         CountDownLatch begun = new CountDownLatch(1);
         IOException[] failure = new IOException[1];
         loop.run(() -> {
-            learn(commission.known());
-            if (!asked) {
-                discovery.follow();
-            }
             try {
+                // Nobody is served before this task is over, and what is known is told within it.
                 clients.listen(commission.listen());
+                learn(commission.known());
+                if (!asked) {
+                    discovery.follow();
+                }
                 InetSocketAddress at = clients.at();
                 log.line(commission.name() + " serves " + at.getHostString() + ":" + at.getPort() + ", knows "
                     + commission.known().entries().size() + " members, descriptors for " + loop.mostChannels());
--- a/src/test/java/wingroad/driver/DriverIT.java
+++ b/src/test/java/wingroad/driver/DriverIT.java
@@ -66,13 +66,16 @@
         return start(1024);
     }
 
-    private Client start(int descriptors) throws Exception {
+    private String config(int listen, int descriptors) throws IOException {
         String known = entry("s-1", primary.port(), "ready") + "," + entry("s-2", replica.port(), "ready");
-        Path config = Files.writeString(dir.resolve("config.json"), "{\"name\":\"n\",\"listen\":\"127.0.0.1:0\","
-            + "\"discovery\":\"127.0.0.1:" + discovery.port() + "\",\"seed\":\"8c1f30d27a5be964\",\"new\":{},"
+        return Files.writeString(dir.resolve("config.json"), "{\"name\":\"n\",\"listen\":\"127.0.0.1:" + listen
+            + "\",\"discovery\":\"127.0.0.1:" + discovery.port() + "\",\"seed\":\"8c1f30d27a5be964\",\"new\":{},"
             + "\"limits\":{\"cores\":1.0,\"memory_mb\":192,\"sockets\":" + descriptors + "},\"known\":{\"rev\":0,\"all\":true,"
-            + "\"targets\":[" + known + "]},\"settings\":" + Given.SETTINGS + "}");
-        driver = process(config.toString());
+            + "\"targets\":[" + known + "]},\"settings\":" + Given.SETTINGS + "}").toString();
+    }
+
+    private Client start(int descriptors) throws Exception {
+        driver = process(config(0, descriptors));
         BufferedReader log = driver.inputReader(StandardCharsets.UTF_8);
         for (String line = log.readLine(); line != null; line = log.readLine()) {
             if (line.contains(" serves ")) {
@@ -384,8 +387,8 @@
     }
 
     @Test
-    void withoutAConfigurationItEndsWithOneLine() throws Exception {
-        for (String config : new String[] {"", dir.resolve("none.json").toString(),
+    void withoutAConfigurationOrAnAddressItEndsWithOneLine() throws Exception {
+        for (String config : new String[] {"", config(primary.port(), 1024), dir.resolve("none.json").toString(),
             Files.writeString(dir.resolve("broken.json"), "{\"listen\":").toString(),
             Files.writeString(dir.resolve("short.json"), "{\"listen\":\"127.0.0.1:0\"}").toString()}) {
             driver = process(config);
