--- a/src/test/java/wingroad/driver/DriverIT.java
+++ b/src/test/java/wingroad/driver/DriverIT.java
@@ -323,6 +323,22 @@
         assertThat(told).hasSizeGreaterThanOrEqualTo(50);
     }
 
+    @Test
+    void oneThatHasNotAskedYetKeepsItsPlaceAtTheDescriptorLimit() throws Exception {
+        start(64);
+        primary.script((sql, s) -> s.awaitEnd());
+        String sql = write("w").replace("d=4000", "d=60000");
+        List<Client> atWork = new ArrayList<>();
+        for (int i = 0; i < 60; i++) {
+            atWork.add(new Client(port).raw(Given.STARTUP, message('Q', text(sql))));
+        }
+        Client waits = client();
+        for (int i = 0; i < 20; i++) {
+            assertThat(client().ask("").heard()).containsExactly("empty");
+        }
+        assertThat(waits.ask("").heard()).containsExactly("empty");
+    }
+
     @Test
     void aClientThatLeavesEndsItsSubmission() throws Exception {
         start();
