--- a/src/main/java/wingroad/driver/Commission.java
+++ b/src/main/java/wingroad/driver/Commission.java
@@ -3,6 +3,7 @@
 import com.fasterxml.jackson.core.JsonFactory;
 import com.fasterxml.jackson.core.JsonParser;
 import java.io.IOException;
+import java.io.InputStream;
 import java.net.InetSocketAddress;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -17,6 +18,8 @@
                   long memory, MemberList known, Map<String, Object> settings) {
     private static final int USUAL_DESCRIPTORS = 1024;
     private static final int USUAL_MEMORY_MB = 192;
+    /** Far more than a list of all members takes; a file without end must not fill the memory. */
+    private static final int LONGEST = 4 << 20;
 
     /** What is told is missing or broken. */
     static final class Refused extends Exception {
@@ -34,8 +37,8 @@
             throw new Refused("LB_CONFIG names no configuration");
         }
         byte[] text;
-        try {
-            text = Files.readAllBytes(Path.of(file));
+        try (InputStream in = Files.newInputStream(Path.of(file))) {
+            text = in.readNBytes(LONGEST);
         } catch (IOException | RuntimeException e) {
             throw new Refused("the configuration can't be read: " + e);
         }
@@ -60,6 +63,12 @@
         }
     }
 
+    /** Whether the other one differs in nothing that counts while the program runs, apart from discovery's address. */
+    boolean sameButForDiscovery(Commission other) {
+        return listen.equals(other.listen) && descriptors == other.descriptors && memory == other.memory
+            && settings.equals(other.settings);
+    }
+
     private static String word(Map<String, Object> all, String name, String otherwise) {
         return all.get(name) instanceof String s ? s : otherwise;
     }
@@ -75,7 +84,7 @@
     private static InetSocketAddress address(String text, String what) throws Refused {
         int colon = text == null ? -1 : text.lastIndexOf(':');
         if (colon <= 0 || !text.substring(colon + 1).matches("[0-9]{1,5}")
-            || Integer.parseInt(text.substring(colon + 1)) > 0xffff) {
+            || Integer.parseInt(text.substring(colon + 1)) > 0xffff || !MemberList.isLiteral(text.substring(0, colon))) {
             throw new Refused("'" + what + "' is no address: " + text);
         }
         return new InetSocketAddress(text.substring(0, colon), Integer.parseInt(text.substring(colon + 1)));
--- a/src/main/java/wingroad/driver/Discovery.java
+++ b/src/main/java/wingroad/driver/Discovery.java
@@ -20,7 +20,7 @@
     private static final Duration PAUSE = Duration.ofMillis(100);
 
     private final Loop loop;
-    private final InetSocketAddress at;
+    private InetSocketAddress at;
     private final Tally tally;
     private final Consumer<MemberList> news;
     private final Runnable failed;
@@ -56,6 +56,27 @@
         }
     }
 
+    /**
+     * Asks at another address from now on. A watch goes on there with the version that is held, so that nothing that
+     * changes is missed; a call that is out at the old address is dropped, not counted as failed, and made again.
+     */
+    void turnTo(InetSocketAddress next) {
+        if (next.equals(at)) {
+            return;
+        }
+        at = next;
+        boolean watches = watch != null;
+        boolean fetches = fetch != null;
+        if (watches) {
+            watch.end();
+            follow();
+        }
+        if (fetches) {
+            fetch.end();
+            fetch();
+        }
+    }
+
     private final class Call implements Link.Owner {
         private final boolean watches;
         private Link link;
--- a/src/main/java/wingroad/driver/Driver.java
+++ b/src/main/java/wingroad/driver/Driver.java
@@ -9,6 +9,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.CountDownLatch;
+import sun.misc.Signal;
 import wingroad.protocol.MemberList;
 import wingroad.routing.Router;
 import wingroad.routing.TxnRouter;
@@ -27,7 +28,8 @@
     private final Set<Integer> groups = new HashSet<>();
     private final CountDownLatch done = new CountDownLatch(1);
     private final Log log;
-    private final Commission commission;
+    private final Map<String, String> env;
+    private Commission commission;
     private final List<String> zones;
     private final List<String> kinds;
     /** The list comes only when the module asks for it. */
@@ -39,7 +41,8 @@
     private final Discovery discovery;
     private Duration stoppedAt;
 
-    private Driver(Commission c, PrintStream out) throws IOException {
+    private Driver(Map<String, String> env, Commission c, PrintStream out) throws IOException {
+        this.env = env;
         commission = c;
         log = new Log(clock, out);
         zones = c.names("azs");
@@ -63,7 +66,7 @@
     public static int run(Map<String, String> env, PrintStream out, PrintStream err) {
         try {
             Commission c = Commission.read(env);
-            Driver driver = new Driver(c, out);
+            Driver driver = new Driver(env, c, out);
             driver.start();
             return 0;
         } catch (Commission.Refused e) {
@@ -76,6 +79,8 @@
 
     private void start() throws IOException {
         Runtime.getRuntime().addShutdownHook(new Thread(this::stopped, "stop"));
+        // Without a handler of its own the signal would end the program.
+        Signal.handle(new Signal("HUP"), signal -> loop.run(this::reload));
         CountDownLatch begun = new CountDownLatch(1);
         IOException[] failure = new IOException[1];
         loop.run(() -> {
@@ -122,6 +127,21 @@
         }
     }
 
+    /** The word has come that there is another configuration. What can't be read leaves the old one in force. */
+    private void reload() {
+        Commission next;
+        try {
+            next = Commission.read(env);
+        } catch (Commission.Refused e) {
+            log.line("configuration not taken, the old one stays: " + e.getMessage());
+            return;
+        }
+        log.line("configuration taken: discovery at " + next.discovery() + (next.sameButForDiscovery(commission) ? ""
+            : "; what else is new in it counts from the next start"));
+        commission = next;
+        discovery.turnTo(next.discovery());
+    }
+
     private void report() {
         String counted = tally.take();
         if (counted != null) {
--- a/src/main/java/wingroad/protocol/MemberList.java
+++ b/src/main/java/wingroad/protocol/MemberList.java
@@ -41,6 +41,11 @@
         }
     }
 
+    /** Whether this names a host by its number. */
+    public static boolean isLiteral(String host) {
+        return host.matches(LITERAL);
+    }
+
     /** The list in an object that has been read already. */
     public static MemberList of(Map<String, Object> all) {
         List<Entry> entries = new ArrayList<>();
@@ -52,7 +57,7 @@
                 || Integer.parseInt(address.substring(colon + 1)) > 0xffff) {
                 throw new Json.Malformed("an endpoint is no address");
             }
-            if (!address.substring(0, colon).matches(LITERAL)) {
+            if (!isLiteral(address.substring(0, colon))) {
                 throw new Json.Malformed("an endpoint has no address but a name");
             }
             Object role = e.get("part");
--- a/src/test/java/wingroad/Given.java
+++ b/src/test/java/wingroad/Given.java
@@ -279,6 +279,8 @@
         private final ServerSocket door = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
         /** What calls get instead of an answer, one each. */
         public final BlockingQueue<String> broken = new LinkedBlockingQueue<>();
+        /** The version that each call named. */
+        public final BlockingQueue<Integer> asked = new LinkedBlockingQueue<>();
         private String list = "";
         private int version;
 
@@ -300,6 +302,7 @@
                     s.close();
                 } else if (line.startsWith("GET ")) {
                     int since = Integer.parseInt(line.replaceAll(".*since=([0-9]+).*", "$1"));
+                    asked.add(since);
                     byte[] body = newer(since).getBytes(StandardCharsets.UTF_8);
                     s.getOutputStream().write(("HTTP/1.1 200 OK\r\nContent-Length: " + body.length + "\r\n\r\n")
                         .getBytes(StandardCharsets.UTF_8));
@@ -316,7 +319,11 @@
         }
 
         public synchronized void tell(String entries) {
-            version++;
+            tell(version + 1, entries);
+        }
+
+        public synchronized void tell(int number, String entries) {
+            version = number;
             list = "{\"rev\":" + version + ",\"all\":true,\"targets\":[" + entries + "]}";
             notifyAll();
         }
--- a/src/test/java/wingroad/driver/DriverIT.java
+++ b/src/test/java/wingroad/driver/DriverIT.java
@@ -34,6 +34,7 @@
 
     private Process driver;
     private int port;
+    private final BlockingQueue<String> log = new LinkedBlockingQueue<>();
     private final StandInDiscovery discovery = discovery();
     private final StandInMember primary = member(true);
     private final StandInMember replica = member(false);
@@ -76,11 +77,11 @@
 
     private Client start(int descriptors) throws Exception {
         driver = process(config(0, descriptors));
-        BufferedReader log = driver.inputReader(StandardCharsets.UTF_8);
-        for (String line = log.readLine(); line != null; line = log.readLine()) {
+        BufferedReader out = driver.inputReader(StandardCharsets.UTF_8);
+        for (String line = out.readLine(); line != null; line = out.readLine()) {
             if (line.contains(" serves ")) {
                 port = Integer.parseInt(line.replaceAll(".*:([0-9]+),.*", "$1"));
-                Thread rest = new Thread(() -> log.lines().forEach(l -> { }));
+                Thread rest = new Thread(() -> drain(out));
                 rest.setDaemon(true);
                 rest.start();
                 return client();
@@ -89,6 +90,30 @@
         throw new AssertionError("it never served");
     }
 
+    private void drain(BufferedReader out) {
+        try {
+            for (String line = out.readLine(); line != null; line = out.readLine()) {
+                log.add(line);
+            }
+        } catch (IOException ended) {
+            // the test is over
+        }
+    }
+
+    /** The next log line with these words. */
+    private String awaitLine(String words) throws InterruptedException {
+        for (String line = log.poll(20, TimeUnit.SECONDS); line != null; line = log.poll(20, TimeUnit.SECONDS)) {
+            if (line.contains(words)) {
+                return line;
+            }
+        }
+        throw new AssertionError("no line: " + words);
+    }
+
+    private void hangUp() throws Exception {
+        assertThat(new ProcessBuilder("/bin/sh", "-c", "kill -HUP " + driver.pid()).start().waitFor()).isZero();
+    }
+
     private Client client() throws IOException {
         Client c = new Client(port).startup();
         assertThat(c.heard()).isEmpty();
@@ -183,6 +208,48 @@
         }
     }
 
+    @Test
+    void anUnreadableConfigurationLeavesTheOldOneInForce() throws Exception {
+        Client c = start();
+        String whole = Files.readString(dir.resolve("config.json"));
+        for (String bad : new String[] {"", whole.substring(0, 150), "[".repeat(100_000), "{\"listen\":\"127.0.0.1:0\"}",
+            whole.replace("\"discovery\":\"127.0.0.1:", "\"discovery\":\"nowhere:")}) {
+            Files.writeString(dir.resolve("config.json"), bad);
+            hangUp();
+            awaitLine("configuration not taken");
+        }
+        Files.delete(dir.resolve("config.json"));
+        hangUp();
+        awaitLine("configuration not taken");
+        try (StandInMember later = new StandInMember(false, (sql, s) -> s.row("from a later one", false))) {
+            discovery.tell(entry("s-1", primary.port(), "ready") + "," + entry("s-3", later.port(), "ready"));
+            awaitLine("list 1");
+            assertThat(c.ask(read("r")).heard()).containsExactly("row from a later one");
+        }
+    }
+
+    @Test
+    void onHangUpDiscoveryIsFollowedAtItsNewAddressFromTheVersionHeld() throws Exception {
+        Client c = start();
+        discovery.tell(41, entry("s-1", primary.port(), "ready") + "," + entry("s-2", replica.port(), "ready"));
+        awaitLine("list 41");
+        try (StandInDiscovery next = new StandInDiscovery();
+             StandInMember later = new StandInMember(false, (sql, s) -> s.row("from a later one", false))) {
+            Files.writeString(dir.resolve("config.json"), Files.readString(dir.resolve("config.json"))
+                .replace("\"discovery\":\"127.0.0.1:" + discovery.port(), "\"discovery\":\"127.0.0.1:" + next.port()));
+            hangUp();
+            hangUp();
+            assertThat(next.asked.poll(20, TimeUnit.SECONDS)).isEqualTo(41);
+            next.tell(42, entry("s-1", primary.port(), "ready") + "," + entry("s-3", later.port(), "ready"));
+            awaitLine("list 42");
+            assertThat(c.ask(read("r")).heard()).containsExactly("row from a later one");
+            // The old address has no say any more.
+            discovery.tell(43, entry("s-2", replica.port(), "ready"));
+            assertThat(next.asked.poll(20, TimeUnit.SECONDS)).isEqualTo(42);
+            assertThat(c.ask(read("s")).heard()).containsExactly("row from a later one");
+        }
+    }
+
     @Test
     void aMemberIsFollowedToItsNewAddress() throws Exception {
         Client c = start();
