--- a/src/main/java/wingroad/Main.java
+++ b/src/main/java/wingroad/Main.java
@@ -20,7 +20,10 @@
             }
             return;
         }
-        System.err.println("usage: wingroad serve | simhost");
+        if (args.length == 1 && args[0].equals("rehearse")) {
+            System.exit(Driver.rehearse(System.getenv(), System.err));
+        }
+        System.err.println("usage: wingroad serve | simhost | rehearse");
         System.exit(2);
     }
 }
--- a/src/main/java/wingroad/driver/Driver.java
+++ b/src/main/java/wingroad/driver/Driver.java
@@ -50,8 +50,9 @@
         Map<String, Object> terms = Terms.of(c.settings());
         asked = "ask".equals(terms.get("member-list"));
         // The rest is for what the program itself holds open: its archive, its polling, its log.
-        // An eighth of the memory may be in flight: a statement is copied on its way, and there is the rest.
-        loop = new Loop(c.descriptors() - Math.min(24, c.descriptors() / 4), c.memory() / 8, log::fault);
+        // A quarter of the heap may be in flight, an eighth of all memory at most: a statement is copied on its way.
+        loop = new Loop(c.descriptors() - Math.min(24, c.descriptors() / 4),
+            Math.min(c.memory() / 8, Runtime.getRuntime().maxMemory() / 4), log::fault);
         Router router = new TxnRouter(terms, c.seed(), log::line);
         exchange = new Exchange(loop, clock, router, (Duration) terms.get("connect-time-out"), log::fault);
         clients = new Clients(loop, exchange, tally, c.names("grades"), terms,
@@ -77,13 +78,28 @@
         return 2;
     }
 
+    /** Plays the rehearsal alone, for an archive of the classes that serving takes; returns the exit status. */
+    public static int rehearse(Map<String, String> env, PrintStream err) {
+        try {
+            Commission c = Commission.read(env);
+            CountDownLatch over = new CountDownLatch(1);
+            Rehearsal.play(new Loop(1, Runtime.getRuntime().maxMemory(), Throwable::printStackTrace), c.names("grades"),
+                Terms.of(c.settings()), over::countDown);
+            over.await();
+            return 0;
+        } catch (Commission.Refused | IOException | InterruptedException e) {
+            err.println("wingroad: " + e.getMessage());
+            return 2;
+        }
+    }
+
     private void start() throws IOException {
         Runtime.getRuntime().addShutdownHook(new Thread(this::stopped, "stop"));
         // Without a handler of its own the signal would end the program.
         Signal.handle(new Signal("HUP"), signal -> loop.run(this::reload));
         CountDownLatch begun = new CountDownLatch(1);
         IOException[] failure = new IOException[1];
-        loop.run(() -> {
+        Rehearsal.play(loop, commission.names("grades"), Terms.of(commission.settings()), () -> {
             try {
                 // Nobody is served before this task is over, and what is known is told within it.
                 clients.listen(commission.listen());
