--- a/src/main/java/wingroad/driver/ClientLink.java
+++ b/src/main/java/wingroad/driver/ClientLink.java
@@ -272,7 +272,7 @@
         } else if (stuckSince != null && past(stuckSince, COMMAND_TIME, now)) {
             side.count("client stuck in a command");
             end(ClientOutput.MALFORMED, "no whole command in time");
-        } else if (past(since, IDLE_TIME, now)) {
+        } else if (past(since, IDLE_TIME, now) && !side.mayIdle()) {
             leave();
         }
     }
--- a/src/main/java/wingroad/driver/Clients.java
+++ b/src/main/java/wingroad/driver/Clients.java
@@ -38,6 +38,7 @@
     private Door door;
     private int numbers;
     private boolean closing;
+    private boolean idleMayStay;
 
     Clients(Loop loop, Exchange exchange, Tally tally, List<String> types, Map<String, Object> terms,
             IntPredicate groupKnown) {
@@ -182,6 +183,19 @@
         return closing;
     }
 
+    Duration longestWait() {
+        return longestWait;
+    }
+
+    /** From now on none is closed for being idle: where the program is about to end, it may find no other. */
+    void idleMayStay() {
+        idleMayStay = true;
+    }
+
+    boolean mayIdle() {
+        return idleMayStay && !closing;
+    }
+
     /** From now on each connection ends between its txns; new ones are still let in. */
     void beginClosing() {
         closing = true;
--- a/src/main/java/wingroad/driver/Driver.java
+++ b/src/main/java/wingroad/driver/Driver.java
@@ -1,5 +1,7 @@
 package wingroad.driver;
 
+import static wingroad.state.Spans.max;
+
 import java.io.IOException;
 import java.io.PrintStream;
 import java.net.InetSocketAddress;
@@ -20,6 +22,14 @@
 public final class Driver {
     /** After the word to stop, clients may still come for most of this. */
     private static final Duration STILL_COMING = Duration.ofMillis(700);
+    /**
+     * So long those that are connected are served on: they may have nowhere else to go, as when the drivers are
+     * restarted one after the other. It leaves most of the time before the kill to what is then still open.
+     */
+    private static final Duration STILL_SERVING = Duration.ofMillis(2200);
+    /** The kill comes no earlier than the longest expiry, counted as this at least, and STILL_COMING after the word. */
+    private static final Duration LEAST_BEFORE_KILL = Duration.ofSeconds(3);
+    private static final Duration KILL_MARGIN = Duration.ofMillis(100);
     private static final Duration TALLY_EVERY = Duration.ofSeconds(5);
     private static final Duration STEP = Duration.ofMillis(5);
 
@@ -173,7 +183,10 @@
             loop.run(() -> {
                 stoppedAt = clock.now();
                 log.line("told to stop, open " + exchange.openTxns());
-                clients.beginClosing();
+                exchange.endBy(stoppedAt.plus(max(clients.longestWait(), LEAST_BEFORE_KILL)).plus(STILL_COMING)
+                    .minus(KILL_MARGIN));
+                clients.idleMayStay();
+                loop.after(STILL_SERVING, clients::beginClosing);
                 leaveWhenDone();
             });
         }
@@ -186,11 +199,10 @@
     }
 
     private void leaveWhenDone() {
-        boolean mayCome = clock.now().minus(stoppedAt).compareTo(STILL_COMING) < 0;
-        if (!mayCome) {
+        if (clock.now().minus(stoppedAt).compareTo(STILL_COMING) >= 0) {
             clients.shutDoor();
         }
-        if (!mayCome && exchange.openTxns() == 0 && clients.idle()) {
+        if (clients.closing() && exchange.openTxns() == 0 && clients.idle()) {
             log.line("stops after " + clock.now().minus(stoppedAt).toMillis() + " ms");
             done.countDown();
         } else {
--- a/src/main/java/wingroad/driver/Exchange.java
+++ b/src/main/java/wingroad/driver/Exchange.java
@@ -82,6 +82,7 @@
     /** Closes an idle client's connection, where there is one. */
     private BooleanSupplier room;
     private long txns;
+    private Duration endBy;
     private boolean pullAsked;
     private Duration wakeAt;
     private Loop.Timer wake;
@@ -94,6 +95,11 @@
         this.onBug = onBug;
     }
 
+    /** The program ends: whatever is taken from now on has its answer by then. */
+    void endBy(Duration at) {
+        endBy = at;
+    }
+
     void meet(Carrier carrier, Lists lists, BooleanSupplier room) {
         this.room = room;
         this.carrier = carrier;
@@ -120,6 +126,9 @@
         Duration now = clock.now();
         String txn = "t" + txns++;
         Duration left = Duration.ofMillis(s.left());
+        if (endBy != null && now.plus(left).compareTo(endBy) > 0) {
+            left = endBy.minus(now);
+        }
         open.put(txn, new Open(s, asker, now.plus(left)));
         Duration sinceWrite = s.after() == null ? null : now.minus(clock.at(s.after()));
         try {
--- a/src/main/java/wingroad/driver/Rehearsal.java
+++ b/src/main/java/wingroad/driver/Rehearsal.java
@@ -24,7 +24,7 @@
     /** By then what every txn runs through has been compiled; more of it gained nothing. */
     private static final int TXNS = 2000;
     /** Whatever the machine, a start is not held up for longer. */
-    private static final Duration MOST = Duration.ofMillis(1200);
+    private static final Duration MOST = Duration.ofMillis(1000);
     private static final int AT_ONCE = 8;
     private static final int MEMBERS = 3;
 
--- a/src/test/java/wingroad/driver/DriverIT.java
+++ b/src/test/java/wingroad/driver/DriverIT.java
@@ -429,10 +429,12 @@
             if (stopped.poll() == null) {
                 stopped.add(true);
                 driver.destroy();
-                assertThat(idle.heard()).containsExactly("end");
                 try (Client late = client()) {
                     assertThat(late.ask(read("late")).heard()).containsExactly("row from replica");
+                    // Who is connected is served on for a while, and then let go.
+                    assertThat(idle.ask(read("idle")).heard()).containsExactly("row from replica");
                     assertThat(late.heard()).containsExactly("end");
+                    assertThat(idle.heard()).containsExactly("end");
                 }
             }
             s.row("after all", true);
