Members that are gone and sessions of long ago are let go, in the module and the driver

A member that is gone goes at the end of a list once it holds nothing (where the list does not bind: once it was lost for the cold time); sessions' writes over 60 s old are kept as one bound for all. Tests: three in TxnRouterTest, each fails without its change.

--- a/src/main/java/wingroad/driver/ClientLink.java
+++ b/src/main/java/wingroad/driver/ClientLink.java
@@ -66,9 +66,9 @@
         link.begin();
     }
 
-    /** It has a txn, or an answer that is not written yet. */
+    /** It has a txn, an answer that is not written yet, or a command that was not looked at yet. */
     boolean busy() {
-        return txn != null || taking || link.unsent();
+        return txn != null || taking || link.unsent() || link.unread() && stuckSince == null && !pausing && !leaving;
     }
 
     @Override
--- a/src/main/java/wingroad/driver/Driver.java
+++ b/src/main/java/wingroad/driver/Driver.java
@@ -148,6 +148,7 @@
                 e.startedAt() > 0 ? clock.at(e.startedAt()) : null);
         }
         router.listEnds(now);
+        members.forget(router::knows);
         if (!list.entries().isEmpty()) {
             log.line("list " + list.version() + (list.whole() ? " whole, " : " changes ") + list.entries().size());
         }
--- a/src/main/java/wingroad/driver/Members.java
+++ b/src/main/java/wingroad/driver/Members.java
@@ -12,6 +12,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.LongPredicate;
 import wingroad.driver.Exchange.Errand;
 import wingroad.protocol.MemberList;
 import wingroad.state.Submission.End;
@@ -38,15 +39,18 @@
     private List<MemberLink> restingNew = new ArrayList<>();
     private List<MemberLink> resting = new ArrayList<>();
     private boolean beating;
+    private long numbers;
 
     /** One member: its address and its connections, those that stand idle with the newest last. */
     final class Place {
         final long id;
+        private final String uid;
         private InetSocketAddress address;
         private final Set<MemberLink> links = new LinkedHashSet<>();
         private final ArrayDeque<MemberLink> idle = new ArrayDeque<>();
 
-        private Place(long id) {
+        private Place(String uid, long id) {
+            this.uid = uid;
             this.id = id;
         }
 
@@ -104,7 +108,7 @@
     long listed(MemberList.Entry e) {
         Place p = byUid.get(e.uid());
         if (p == null) {
-            p = new Place(byId.size() + 1);
+            p = new Place(e.uid(), ++numbers);
             byUid.put(e.uid(), p);
             byId.put(p.id, p);
         }
@@ -118,6 +122,18 @@
         return p.id;
     }
 
+    /** Lets go of those that the module no longer thinks of: members come under new ids all day. */
+    void forget(LongPredicate known) {
+        byId.values().removeIf(p -> {
+            boolean over = !known.test(p.id);
+            if (over) {
+                p.closeIdle();
+                byUid.remove(p.uid);
+            }
+            return over;
+        });
+    }
+
     @Override
     public void carry(Errand e) {
         Place p = byId.get(e.member());
--- a/src/main/java/wingroad/routing/Router.java
+++ b/src/main/java/wingroad/routing/Router.java
@@ -22,6 +22,9 @@
     /** The list that has begun is complete. */
     void listEnds(Duration now);
 
+    /** Whether the member is still thought of; one that is gone and has no work out is let go when a list ends. */
+    boolean knows(long member);
+
     /** A call for the list failed; the one held stays. */
     void listFailed(Duration now);
 
--- a/src/main/java/wingroad/routing/TxnRouter.java
+++ b/src/main/java/wingroad/routing/TxnRouter.java
@@ -1,6 +1,5 @@
-// THE MODULE: every decision of the driver. How to call it: Router.java, beside this file, is its interface.
-// Build one with the deployment's terms, a seed and a place for log lines; tell it what happens through the
-// input calls; after each, and at wakeAt(), pull next(now) until it is null. The reasons: docs/design.md.
+// THE MODULE: every decision of the driver. Router.java, beside this file, is its interface: tell it what
+// happens; after each call, and at wakeAt(), pull next(now) until it is null. The reasons: docs/design.md.
 package wingroad.routing;
 
 import static wingroad.state.Spans.max;
@@ -49,6 +48,8 @@
     private static final double PATIENCE = 4;
     /** How many submissions a member gets at once before its answers have set its limit. */
     private static final double FIRST_LIMIT = 8;
+    /** After so long a session's last write is no longer told from those of others. */
+    private static final Duration SESSION_MEMORY = Duration.ofSeconds(60);
 
     private record Alarm(Duration at, long number, Object what) {
     }
@@ -77,7 +78,9 @@
     private final Map<Long, Member> members = new LinkedHashMap<>();
     private final Map<Integer, Group> groups = new LinkedHashMap<>();
     private final Map<String, Txn> txns = new HashMap<>();
-    private final Map<Long, Duration> sessionWrites = new HashMap<>();
+    private final Map<Long, Duration> sessionWrites = new LinkedHashMap<>(16, 0.75f, true);
+    /** The latest of those sessions' writes that are no longer told apart, or null. */
+    private Duration oldWrites;
     private final ArrayDeque<Decision> ready = new ArrayDeque<>();
     private final ArrayDeque<Group> dirty = new ArrayDeque<>();
     private final PriorityQueue<Alarm> alarms = new PriorityQueue<>((a, b) ->
@@ -163,12 +166,18 @@
 
     @Override
     public void listEnds(Duration now) {
-        if (listWhole) {
-            for (Member m : members.values()) {
-                if (!listNamed.contains(m)) {
-                    m.listed = false;
-                    tellStop(m, true, true, now);
-                }
+        for (Iterator<Member> i = members.values().iterator(); i.hasNext();) {
+            Member m = i.next();
+            if (listWhole && !listNamed.contains(m)) {
+                m.listed = false;
+                tellStop(m, true, true, now);
+            }
+            // What is gone and holds nothing is let go; where the list does not bind, once it is lost long.
+            boolean lost = m.lostSince != null && now.minus(m.lostSince).compareTo(max(cold, memory)) > 0;
+            boolean held = !m.out.isEmpty() || m.probeOut || m == m.group.primary;
+            if (m.gone && !held && (lost || mustStop(m, now, false))) {
+                m.group.members.remove(m);
+                i.remove();
             }
         }
         listFailures = 0;
@@ -189,16 +198,16 @@
                            Duration sinceWrite, boolean retry) {
         Group g = groups.computeIfAbsent(group, i -> new Group(i, SPILL_SHARE));
         Txn t = new Txn(id, types[type], g, now, now.plus(left), session, retry);
-        // The SLA time runs from the client's first try. A try with less time than others of its type get is
-        // a later one: what its client has left of the expiry tells how long ago the first was. Where clients
-        // mark their retries, one without the mark is from a client of little patience.
+        // The SLA time runs from the first try. One with less time than others of its type is a later one and
+        // tells when the first was; where retries are marked, one without a mark has little patience.
         longestTry[type] = max(longestTry[type], left);
         if (left.plus(step).compareTo(longestTry[type]) < 0 && (retry || !flag("clients-mark-retries"))) {
             t.aimAt = t.aimAt.minus(max(Duration.ZERO, t.type.expiry().minus(left)));
         }
         if (t.type.freshness() == Freshness.OWN_WRITES) {
             t.mustReflect = "client".equals(terms.get("session-marks"))
-                ? sinceWrite == null ? null : now.minus(sinceWrite) : sessionWrites.get(session);
+                ? sinceWrite == null ? null : now.minus(sinceWrite)
+                : sessionWrites.getOrDefault(session, oldWrites);
         }
         txns.put(id, t);
         hold(t, now);
@@ -223,6 +232,7 @@
             if (s.txn.type.update() && s.txn.session >= 0 && position != null
                 && "router".equals(terms.get("session-marks"))) {
                 sessionWrites.merge(s.txn.session, position, Spans::max);
+                forgetWrites(now);
             }
         }
         if (end == End.TIMED_OUT && m != m.group.primary) {
@@ -255,12 +265,24 @@
         }
     }
 
+    private void forgetWrites(Duration now) {
+        Iterator<Duration> i = sessionWrites.values().iterator();
+        for (Duration d = i.next(); now.minus(d).compareTo(SESSION_MEMORY) > 0 && i.hasNext(); d = i.next()) {
+            oldWrites = oldWrites == null ? d : max(oldWrites, d);
+            i.remove();
+        }
+    }
+
+    @Override
+    public boolean knows(long member) {
+        return members.containsKey(member);
+    }
+
     @Override
     public void reported(Duration now, long member, Role role, Duration position, double held, double waiting,
                          double busy) {
         Member m = members.get(member);
-        // A report is as old as it is: a primary's position is the time at which it was made, a replica's is
-        // never later than that, so the position dates the role.
+        // A primary's position is the time of its report, a replica's is never later: it dates the role.
         if (role != Role.UNKNOWN && position != null) {
             heard(m, role, position, now);
             if (role == Role.PRIMARY) {
@@ -386,7 +408,6 @@
         log.accept("group " + g.id + " primary " + m.id + (g.searching ? " found after "
             + (long) ms(now.minus(g.searchSince)) + " ms, held " + g.writes.size() : " by claim"));
         g.searching = false;
-        g.searchRounds = 0;
         // The same primary found again, or a fresh driver's first one, leaves nothing to settle.
         if (old != null && old != m) {
             g.watchUntil = now.plus(WATCH_SPAN);
@@ -413,8 +434,7 @@
 
     private void searchOn(Group g, Duration now) {
         g.writes.removeIf(t -> t.answered);
-        // Guards a group against the probes of many drivers that wait for nothing, just as its primary comes:
-        // after the first round it is asked at the steady rate until writes are held.
+        // Guards against many drivers' probes that wait for nothing: after one round the rate is steady.
         boolean idle = g.searchRounds > 0 && g.writes.isEmpty();
         Duration due = idle ? g.nextProbe.plus(STEADY_PROBE) : g.nextProbe;
         if (now.compareTo(due) >= 0) {
@@ -519,8 +539,7 @@
         if (g.reads.isEmpty() || g.members.isEmpty()) {
             return;
         }
-        // Newest first: under overload those that waited long are late anyway. Tries that come again, or too
-        // late to be worth anything, get what the others leave.
+        // Newest first: under overload those that waited long are late anyway, and get what the others leave.
         for (int pass = 0; pass < 2; pass++) {
             int looked = 0;
             for (Iterator<Txn> i = g.reads.descendingIterator(); i.hasNext() && looked < 32;) {
@@ -739,13 +758,10 @@
     private void finish(Txn t, Duration now) {
         boolean harmless = t.type.repeat() == Repeat.REPEATABLE || !t.mayHaveRun()
             || t.type.repeat() == Repeat.REFERENCED && t.type.anyMemberDropsRepeats();
-        if (harmless) {
-            // A client that can still be in time may come back at once; one that is too late better waits.
-            boolean away = flag("may-advise-come-back") && late(t, now);
-            ready.add(Decision.decline(t.id, away ? time("longest-come-back") : null));
-        } else {
-            ready.add(Decision.rollBack(t.id));
-        }
+        // A client that can still be in time may come back at once; one that is too late better waits.
+        boolean away = flag("may-advise-come-back") && late(t, now);
+        ready.add(!harmless ? Decision.rollBack(t.id)
+            : Decision.decline(t.id, away ? time("longest-come-back") : null));
         close(t);
     }
 
@@ -796,10 +812,8 @@
         }
         m.answers.add(now, 1);
         m.slowness.add(now, ms(time) / target(m, t.type));
-        // Guards against replicas that fall behind because they are crowded, stand idle at the bound's edge
-        // until they have caught up, and are crowded again: the log is applied with what the reads leave, so
-        // a lag well inside the bound lowers the limit while it grows, and else keeps it from rising.
-        // Where answers are quick the lag has another cause, and sending less would not mend it.
+        // Guards against replicas that fall behind as they are crowded: a lag well inside the bound lowers the
+        // limit while it grows, else keeps it from rising. Where answers are quick it has another cause.
         boolean behind = m != m.group.primary && behind(m).compareTo(bound.dividedBy(4)) > 0
             && ratio(m, now) > 0.75;
         boolean growing = behind(m).compareTo(m.behindBefore) > 0;
@@ -845,10 +859,7 @@
         return took[type.index()].calm;
     }
 
-    /**
-     * Silent: work out at it has waited, all together, several usual answer times since its last sign. The
-     * next answer ends it; a member whose work all ran out without one is tried again one at a time.
-     */
+    /** Silent: its work has waited, all together, several usual answer times since its last sign. */
     private boolean quiet(Member m, Duration now) {
         if (m.silent || m.out.isEmpty()) {
             return m.silent;
@@ -883,8 +894,7 @@
             m.shunnedUntil = max(m.shunnedUntil, now.plus(millis(calm(types[0]))));
         } else {
             m.failures = 0;
-            // Guards against pushing over a member that came back before the list said so. A broken
-            // connection alone is no restart: it must have been out of reach for a while.
+            // Guards against pushing over one that is back before the list says so: out of reach for a while.
             if (m.lostSince != null && now.minus(m.lostSince).compareTo(memory) > 0) {
                 m.startedAt = now;
                 m.creditAt = null;
@@ -916,12 +926,8 @@
         return m.failures > 1 || m.failures > 0 && now.compareTo(m.shunnedUntil) < 0 ? 1 : m.limit;
     }
 
-    /**
-     * Work that may be sent, saved up at a rate: rates add up over many drivers, what each may send at once
-     * or keep out does not. Guards against pushing a cold member over, by quick misses too: it gets what a
-     * warm one of its kind gets, times its warm part and three quarters of the multiple, one a cold time at
-     * least. And against crowding a replica whose limit is low: a little more than it answers in time.
-     */
+    // Work that may be sent, saved up at a rate, as rates add up over many drivers. A cold member gets a warm
+    // one's, times its warm part and 3/4 of the multiple; a replica of low limit what it answers in time.
     private double credit(Member m, Duration now) {
         double calm = calm(types[0]);
         double warm = warmth(m, now);
@@ -970,23 +976,17 @@
         if (position == null) {
             return;
         }
-        if (m.position == null || position.compareTo(m.position) > 0) {
-            m.position = position;
-        }
+        m.position = m.position == null ? position : max(m.position, position);
         m.behind = now.minus(m.position);
         m.positionHeard = now;
     }
 
-    // ---- the member list ----
-
     /** Where the list must be asked for: follow it, again after failures and when it was quiet for long. */
     private void askListAt(Duration at) {
         listAt = at;
         alarm(at, at);
     }
 
-    // ---- small things ----
-
     private void touch(Group g) {
         if (!g.dirty) {
             g.dirty = true;
--- a/src/test/java/wingroad/routing/TxnRouterTest.java
+++ b/src/test/java/wingroad/routing/TxnRouterTest.java
@@ -454,4 +454,61 @@
         g.router.txnLapsed(at(301), "r");
         assertThat(g.router.mayStillGo(at(301), "r", 1)).as("nobody waits for it").isFalse();
     }
+
+    @Test
+    void aMemberThatIsGoneIsLetGoOnceItHoldsNothing() {
+        Given g = new Given().group(1, 2).roles(5, 2);
+        g.txn(10, "r", READ, 2000);
+        assertThat(of(Kind.SUBMIT, g.decisions(10))).extracting(Decision::member).containsExactly(2L);
+        gone(g, 20);
+        assertThat(g.router.knows(2)).isTrue();
+        g.ends(30, "r", 0, 2, End.COMMITTED, Role.REPLICA);
+        gone(g, 40);
+        assertThat(g.router.knows(2)).isFalse();
+        // Under its id it may come again, and then it is what the list says of it.
+        g.listed(50, 2, true, null);
+        g.router.listEnds(at(50));
+        g.says(60, 2, Role.REPLICA, 60);
+        g.txn(70, "s", READ, 2000);
+        assertThat(of(Kind.SUBMIT, g.decisions(70))).extracting(Decision::member).doesNotContain(2L);
+    }
+
+    private static void gone(Given g, long now) {
+        g.router.listStarts(at(now), false);
+        g.router.listed(at(now), 2, 7, 0, 0, 1, false, false, true, null);
+        g.router.listEnds(at(now));
+    }
+
+    @Test
+    void whereTheListDoesNotBindOneThatIsGoneStaysUntilItIsLost() {
+        Given g = new Given().with("removal-not-binding", true).group(1, 2).roles(5, 2);
+        gone(g, 20);
+        assertThat(g.router.knows(2)).isTrue();
+        g.router.probeEnded(at(30), 2, false, at(250));
+        gone(g, 9000);
+        assertThat(g.router.knows(2)).isTrue();
+        gone(g, 20_000);
+        assertThat(g.router.knows(2)).isFalse();
+    }
+
+    @Test
+    void sessionsWhoseLastWriteIsLongAgoAreHeldToTheLatestOfThoseTogether() {
+        Given g = new Given().with("session-marks", "router").type(READ, "repeatable", "own-writes", 600, 2000);
+        g.group(1, 2).roles(5, 2);
+        committed(g, 100, "w", 5);
+        committed(g, 70_000, "x", 6);
+        g.says(70_010, 2, Role.REPLICA, 90);
+        // Its own write is no longer known, so it must see what any of that time wrote.
+        g.router.txnArrived(at(70_020), "r", READ, 7, at(2000), 99, null, false);
+        assertThat(of(Kind.SUBMIT, g.decisions(70_020))).extracting(Decision::member).doesNotContain(2L);
+        g.says(70_030, 2, Role.REPLICA, 200);
+        assertThat(of(Kind.SUBMIT, g.decisions(70_030))).extracting(Decision::member).doesNotContain(1L);
+    }
+
+    private static void committed(Given g, long now, String id, long session) {
+        g.router.txnArrived(at(now), id, WRITE, 7, at(3000), session, null, false);
+        g.decisions(now);
+        g.router.submissionEnded(at(now + 5), id, 0, 1, End.COMMITTED, at(5), true, Role.PRIMARY, at(now));
+        g.decisions(now + 5);
+    }
 }
