A planned stop ends by the kill's earliest time: the longest expiry, 3 s at most, and 0.7 s

The driver's own lines: told at 14.85, no 'stops after', its successor up by 19.50: killed 2.9 s after the word, while endBy allowed 3.6 s. At fault: Driver.LEAST_BEFORE_KILL took the 3 s of PROTOCOL for a least, where it is a most.

--- a/src/main/java/wingroad/driver/Driver.java
+++ b/src/main/java/wingroad/driver/Driver.java
@@ -1,6 +1,6 @@
 package wingroad.driver;
 
-import static wingroad.state.Spans.max;
+import static wingroad.state.Spans.min;
 
 import java.io.IOException;
 import java.io.PrintStream;
@@ -23,12 +23,11 @@
     /** After the word to stop, clients may still come for most of this. */
     private static final Duration STILL_COMING = Duration.ofMillis(700);
     /**
-     * So long those that are connected are served on: they may have nowhere else to go, as when the drivers are
-     * restarted one after the other. It leaves most of the time before the kill to what is then still open.
+     * The kill comes no earlier than the longest expiry, counted as this where it is longer, and STILL_COMING after the
+     * word. So long, and half of STILL_COMING, the connected are served on: they may have nowhere else to go, as when the
+     * drivers are restarted one after the other. The other half is left to what is then still open.
      */
-    private static final Duration STILL_SERVING = Duration.ofMillis(2200);
-    /** The kill comes no earlier than the longest expiry, counted as this at least, and STILL_COMING after the word. */
-    private static final Duration LEAST_BEFORE_KILL = Duration.ofSeconds(3);
+    private static final Duration MOST_COUNTED = Duration.ofSeconds(3);
     private static final Duration KILL_MARGIN = Duration.ofMillis(100);
     private static final Duration TALLY_EVERY = Duration.ofSeconds(5);
     private static final Duration STEP = Duration.ofMillis(5);
@@ -50,6 +49,7 @@
     private final Clients clients;
     private final Discovery discovery;
     private Duration stoppedAt;
+    private Duration leavesBy;
 
     private Driver(Map<String, String> env, Commission c, PrintStream out) throws IOException {
         this.env = env;
@@ -184,10 +184,11 @@
             loop.run(() -> {
                 stoppedAt = clock.now();
                 log.line("told to stop, open " + exchange.openTxns());
-                exchange.endBy(stoppedAt.plus(max(clients.longestWait(), LEAST_BEFORE_KILL)).plus(STILL_COMING)
-                    .minus(KILL_MARGIN));
+                Duration serves = min(clients.longestWait(), MOST_COUNTED);
+                leavesBy = stoppedAt.plus(serves).plus(STILL_COMING).minus(KILL_MARGIN);
+                exchange.endBy(leavesBy);
                 clients.idleMayStay();
-                loop.after(STILL_SERVING, clients::beginClosing);
+                loop.after(serves.plus(STILL_COMING.dividedBy(2)), clients::beginClosing);
                 leaveWhenDone();
             });
         }
@@ -203,7 +204,8 @@
         if (clock.now().minus(stoppedAt).compareTo(STILL_COMING) >= 0) {
             clients.shutDoor();
         }
-        if (clients.closing() && exchange.openTxns() == 0 && clients.idle()) {
+        boolean nothingLeft = exchange.openTxns() == 0 && (clients.idle() || clock.now().compareTo(leavesBy) > 0);
+        if (clients.closing() && nothingLeft) {
             log.line("stops after " + clock.now().minus(stoppedAt).toMillis() + " ms");
             done.countDown();
         } else {
