--- a/src/main/java/wingroad/driver/Answer.java
+++ b/src/main/java/wingroad/driver/Answer.java
@@ -31,14 +31,14 @@
         asked = null;
     }
 
-    Answer(MemberInput in, Clock clock) {
+    Answer(MemberInput in, Clock clock, boolean probe) {
         end = end(in);
         Double position = Gauges.number(in.parameter("caught_up_to"));
         String gauges = in.parameter("gauges");
         told = new Told(role(in.parameter("part")), position == null ? null : clock.past(position),
             gauges == null ? null : report(gauges, clock));
-        row = in.served() ? in.row() : null;
-        asked = in.served() ? report(in.value(), clock) : null;
+        row = in.served() && !probe ? in.row() : null;
+        asked = in.served() && probe && in.value() != null ? report(in.value(), clock) : null;
     }
 
     private static End end(MemberInput in) {
--- a/src/main/java/wingroad/driver/ClientLink.java
+++ b/src/main/java/wingroad/driver/ClientLink.java
@@ -18,7 +18,7 @@
     private static final Duration COMMAND_TIME = Duration.ofMillis(1500);
     /** A connection without a request may be closed after 2 s; those that ask once and stay must not add up. */
     private static final Duration IDLE_TIME = Duration.ofMillis(2200);
-    /** A client that does not read for so long has gone, or never will. */
+    /** A client that reads nothing at all for so long has gone, or never will; one that is slow may take its time. */
     private static final Duration WRITE_TIME = Duration.ofSeconds(3);
     /** So long a client that was told the end has to read it and to end its own side. */
     private static final Duration LINGER = Duration.ofSeconds(1);
@@ -53,6 +53,8 @@
     /** Nothing more is taken; what was answered is still written. */
     private boolean leaving;
     private int thrownAway;
+    /** How many bytes had been written when it was last looked at. */
+    private long wrote;
 
     ClientLink(Clients side, Duration since, int number) {
         this.side = side;
@@ -199,7 +201,8 @@
 
     @Override
     public void committed(byte[] row) {
-        answer(new ClientOutput().row(row));
+        settled();
+        link.send(ClientOutput.row(row));
     }
 
     @Override
@@ -262,7 +265,11 @@
 
     /** Called now and then: ends what has taken too long. A txn has its own time, which the module keeps. */
     void overdue(Duration now) {
-        if (leaving ? past(since, LINGER, now) : link.unsent() && past(since, WRITE_TIME, now)) {
+        if (wrote != link.wrote()) {
+            wrote = link.wrote();
+            since = now;
+        }
+        if (link.unsent() ? past(since, WRITE_TIME, now) : leaving && past(since, LINGER, now)) {
             close();
         } else if (leaving || busy() || pausing) {
             return;
--- a/src/main/java/wingroad/driver/MemberLink.java
+++ b/src/main/java/wingroad/driver/MemberLink.java
@@ -139,7 +139,7 @@
         Duration took = side.now().minus(since);
         errandTimer.cancel();
         errand = null;
-        Answer answer = answer();
+        Answer answer = answer(e);
         input.clear();
         // Whoever answers has read its query, even where the word that it was written is still on its way here:
         // on one core the answer may well come first.
@@ -165,9 +165,9 @@
     }
 
     /** What was answered; whatever it says, the errand has its end. */
-    private Answer answer() {
+    private Answer answer(Errand e) {
         try {
-            return new Answer(input, side.clock());
+            return new Answer(input, side.clock(), e.probe());
         } catch (RuntimeException bug) {
             side.fault(bug);
             return Answer.SPOILT;
@@ -224,7 +224,7 @@
             side.failed(e, End.ERROR, side.now().minus(since), how);
         } else if (was == Stage.SENT && (input.served() || input.error() != null)) {
             // The answer itself was whole; only the word that the member is ready is missing.
-            side.answered(e, answer(), side.now().minus(since));
+            side.answered(e, answer(e), side.now().minus(since));
         } else if (e != null) {
             boolean turnedAway = was == Stage.STARTING && Answer.TURNED_AWAY.equals(input.error());
             side.failed(e, turnedAway ? End.FULL : reach.lost(), side.now().minus(since), how);
--- a/src/main/java/wingroad/driver/Rehearsal.java
+++ b/src/main/java/wingroad/driver/Rehearsal.java
@@ -128,7 +128,7 @@
         exchange.arrived(s, type, -1, new Exchange.Asker() {
             @Override
             public void committed(byte[] row) {
-                new ClientOutput().row(row).bytes();
+                ClientOutput.row(row);
                 answered();
             }
 
@@ -153,7 +153,7 @@
         MemberInput in = new MemberInput();
         in.clear();
         in.take(ByteBuffer.wrap(answer));
-        Answer a = new Answer(in, clock);
+        Answer a = new Answer(in, clock, false);
         Exchange.Told told = new Exchange.Told(e.member() == 1 ? wingroad.state.Member.Role.PRIMARY
             : wingroad.state.Member.Role.REPLICA, clock.now(), a.told.report());
         if (e.probe()) {
--- a/src/main/java/wingroad/protocol/ClientOutput.java
+++ b/src/main/java/wingroad/protocol/ClientOutput.java
@@ -57,10 +57,9 @@
         return ready();
     }
 
-    /** Messages that a member sent, unchanged. */
-    public ClientOutput row(byte[] messages) {
-        out.writeBytes(messages);
-        return ready();
+    /** Messages that a member sent, unchanged, and that this side is ready. */
+    public static ByteBuffer row(byte[] messages) {
+        return ByteBuffer.allocate(messages.length + READY.length).put(messages).put(READY).flip();
     }
 
     public ClientOutput done(String tag) {
--- a/src/main/java/wingroad/protocol/MemberInput.java
+++ b/src/main/java/wingroad/protocol/MemberInput.java
@@ -1,9 +1,10 @@
 package wingroad.protocol;
 
-import java.io.ByteArrayOutputStream;
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.regex.Pattern;
 import wingroad.protocol.Frames.Frame;
@@ -13,8 +14,10 @@
  * query each. An answer is taken whole.
  */
 public final class MemberInput {
-    /** The largest message: a value of 64 KiB, in hex at worst, and what stands around it. */
-    public static final int MOST = 2 * 64 * 1024 + 4096;
+    /** The largest row. Values of 400 KB were met; what all of them may hold together is bounded by the loop. */
+    public static final int MOST = 2 << 20;
+    /** A value that is text, as a report is. */
+    private static final int MOST_TEXT = 4096;
 
     /** The largest message that is no row. */
     private static final int MOST_BUT_ROWS = 16 * 1024;
@@ -26,12 +29,14 @@
     private boolean started;
     private boolean described;
     private byte[] value;
+    private boolean valued;
     private boolean completed;
     private boolean fatal;
     private String error;
     private String why;
     private final Map<String, String> parameters = new HashMap<>();
-    private final ByteArrayOutputStream row = new ByteArrayOutputStream();
+    /** The row's messages, one after the other. */
+    private final List<byte[]> row = new ArrayList<>(3);
 
     /** Takes what it can from the buffer. WHOLE: one answer is there, to be read and then to be cleared. */
     public State take(ByteBuffer in) {
@@ -66,7 +71,7 @@
             if ("TDC".indexOf(f.type()) >= 0) {
                 byte[] message = new byte[in.position() - from];
                 in.get(from, message);
-                row.writeBytes(message);
+                row.add(message);
             }
             if (f.type() == 'Z' || fatal) {
                 return State.WHOLE;
@@ -87,8 +92,8 @@
             case 'E' -> error == null && !completed;
             case 'R', 'K', 'v' -> !started;
             case 'T' -> started && !described && error == null;
-            case 'D' -> described && value == null && error == null;
-            case 'C' -> value != null && !completed && error == null;
+            case 'D' -> described && !valued && error == null;
+            case 'C' -> valued && !completed && error == null;
             case 'Z' -> !started || completed || error != null;
             default -> false;
         };
@@ -129,8 +134,11 @@
         if (length != body.remaining()) {
             return false;
         }
-        value = new byte[length];
-        body.get(value);
+        valued = true;
+        if (length <= MOST_TEXT) {
+            value = new byte[length];
+            body.get(value);
+        }
         return true;
     }
 
@@ -171,15 +179,16 @@
         started = true;
         described = false;
         value = null;
+        valued = false;
         completed = false;
         error = null;
         parameters.clear();
-        row.reset();
+        row.clear();
     }
 
     /** The row and its end are there, whether or not the member went on to say that it is ready. */
     public boolean served() {
-        return value != null && completed && error == null;
+        return valued && completed && error == null;
     }
 
     /** Anything but notices has come of an answer. */
@@ -204,7 +213,13 @@
 
     /** The row's messages as they came. */
     public byte[] row() {
-        return row.toByteArray();
+        int length = 0;
+        for (byte[] message : row) {
+            length += message.length;
+        }
+        ByteBuffer all = ByteBuffer.allocate(length);
+        row.forEach(all::put);
+        return all.array();
     }
 
     public String value() {
--- a/src/main/java/wingroad/transport/Link.java
+++ b/src/main/java/wingroad/transport/Link.java
@@ -17,6 +17,8 @@
     private static final int FIRST_SIZE = 1024;
     /** Read ahead for an owner that does not take it yet: enough to see the other side's end in most cases. */
     private static final int AHEAD = 4096;
+    /** One call reads or writes no more: the system's side copies all that it is given, each time. */
+    private static final int PIECE = 64 * 1024;
 
     /** Who a connection belongs to. */
     public interface Owner {
@@ -60,6 +62,7 @@
     private boolean offering;
     private final ArrayDeque<ByteBuffer> out = new ArrayDeque<>();
     private boolean writing;
+    private long wrote;
     private boolean connecting;
     private boolean finishing;
     private boolean deaf;
@@ -179,7 +182,7 @@
         reading = true;
         inCall = true;
         try {
-            channel.read(ByteBuffer.wrap(data, end, data.length - end), null, reads);
+            channel.read(ByteBuffer.wrap(data, end, Math.min(PIECE, data.length - end)), null, reads);
         } catch (RuntimeException e) {
             reading = false;
             loop.run(() -> breaks("cannot read: " + e.getMessage()));
@@ -235,7 +238,9 @@
         writing = true;
         inCall = true;
         try {
-            channel.write(out.peek(), null, writes);
+            ByteBuffer first = out.peek();
+            ByteBuffer piece = first.slice(first.position(), Math.min(PIECE, first.remaining()));
+            channel.write(piece, null, writes);
         } catch (RuntimeException e) {
             writing = false;
             loop.run(() -> breaks("cannot write: " + e.getMessage()));
@@ -248,9 +253,9 @@
         public void completed(Integer count, Void nothing) {
             // No longer a way than a read's: an answer must not seem to come before its query was written.
             if (inCall) {
-                loop.run(Link.this::haveWritten);
+                loop.run(() -> haveWritten(count));
             } else {
-                guarded(Link.this::haveWritten);
+                guarded(() -> haveWritten(count));
             }
         }
 
@@ -263,8 +268,10 @@
         }
     };
 
-    private void haveWritten() {
+    private void haveWritten(int count) {
         writing = false;
+        wrote += count;
+        out.peek().position(out.peek().position() + count);
         if (!out.peek().hasRemaining()) {
             int gone = out.poll().limit();
             loop.hold(closed ? 0 : -gone);
@@ -281,6 +288,11 @@
         }
     }
 
+    /** How many bytes have been written so far. */
+    public long wrote() {
+        return wrote;
+    }
+
     /** True while bytes that were handed over have not been written. */
     public boolean unsent() {
         return !out.isEmpty();
