--- a/src/main/java/wingroad/routing/TxnRouter.java
+++ b/src/main/java/wingroad/routing/TxnRouter.java
@@ -150,7 +150,8 @@
             m.creditAt = null;
             m.limit = Math.max(1, FIRST_LIMIT * warmth(m, now));
         }
-        tellStop(m, draining || gone, gone, now);
+        m.stopTold = !draining && !gone ? null : m.stopTold == null ? now : m.stopTold;
+        m.gone = gone;
         m.listed = !gone;
         listNamed.add(m);
         if (primary && !gone && m.group.primary == null && "late".equals(terms.get("role-in-list"))) {
@@ -159,18 +160,14 @@
         touch(m.group);
     }
 
-    private void tellStop(Member m, boolean stop, boolean gone, Duration now) {
-        m.stopTold = !stop ? null : m.stopTold == null ? now : m.stopTold;
-        m.gone = gone;
-    }
-
     @Override
     public void listEnds(Duration now) {
         for (Iterator<Member> i = members.values().iterator(); i.hasNext();) {
             Member m = i.next();
             if (listWhole && !listNamed.contains(m)) {
                 m.listed = false;
-                tellStop(m, true, true, now);
+                m.stopTold = m.stopTold == null ? now : m.stopTold;
+                m.gone = true;
             }
             // What is gone and holds nothing is let go; where the list does not bind, once it is lost long.
             boolean lost = m.lostSince != null && now.minus(m.lostSince).compareTo(max(cold, memory)) > 0;
@@ -285,9 +282,7 @@
         // A primary's position is the time of its report, a replica's is never later: it dates the role.
         if (role != Role.UNKNOWN && position != null) {
             heard(m, role, position, now);
-            if (role == Role.PRIMARY) {
-                m.group.reportAge = now.minus(position);
-            }
+            m.group.reportAge = role == Role.PRIMARY ? now.minus(position) : m.group.reportAge;
         }
         heardPosition(m, position, now);
         touch(m.group);
@@ -390,21 +385,20 @@
             }
             return;
         }
-        if (g.claimAt != null && at.compareTo(g.claimAt) < 0) {
+        // Guards against confirming a primary that is gone or hangs by a report from before it went.
+        if (g.claimAt != null && at.compareTo(g.claimAt) < 0 || g.primary == m && g.searching
+            && (at.compareTo(g.searchSince) <= 0 || m.silent
+            || m.lostSince == null && m.shunnedUntil.compareTo(now) > 0)) {
             return;
         }
         if (g.primary == m && !g.searching) {
             g.claimAt = at;
             return;
         }
-        // Guards against confirming a primary that is gone or hangs by a report from before it went.
-        if (g.primary == m && (at.compareTo(g.searchSince) <= 0 || m.silent
-            || m.shunnedUntil.compareTo(now) > 0)) {
-            return;
-        }
         Member old = g.primary;
         g.primary = m;
         g.claimAt = at;
+        m.shunnedUntil = min(m.shunnedUntil, now);
         log.accept("group " + g.id + " primary " + m.id + (g.searching ? " found after "
             + (long) ms(now.minus(g.searchSince)) + " ms, held " + g.writes.size() : " by claim"));
         g.searching = false;
@@ -472,8 +466,6 @@
         return true;
     }
 
-    // ---- placing ----
-
     private void placeWrites(Group g, Duration now) {
         if (g.writes.isEmpty()) {
             return;
@@ -570,13 +562,21 @@
     /** The member for a read, which may fill the given part of its room, or null: it waits. */
     private Member choose(Group g, Txn t, double part, Duration now) {
         Duration need = needs(t, now);
+        Member p = g.primary;
+        // Guards against writes held for one stuck connection: a repeatable read asks the silent primary.
+        if (g.searching && p != null && p.silent && t.type.repeat() == Repeat.REPEATABLE
+            && !mustStop(p, now, true)
+            && p.out.stream().allMatch(s -> s.sentAt.compareTo(g.searchSince) < 0)) {
+            return p;
+        }
         Member best = null;
         Member leastBehind = null;
         double bestCost = 0;
         int replicas = 0;
         int fresh = 0;
         for (Member m : g.members) {
-            if (m == g.primary || mustStop(m, now, false)) {
+            // While it is in doubt the primary serves what its proven position allows, as any replica.
+            if (m == g.primary && !g.searching || mustStop(m, now, false)) {
                 continue;
             }
             replicas++;
@@ -611,7 +611,6 @@
         if (checked && leastBehind != null && fresh == 0 && t.submissions.size() < 2) {
             return leastBehind;
         }
-        Member p = g.primary;
         if (asked && fresh == 0 || p == null || g.searching || away(p, now) || mustStop(p, now, true)) {
             return null;
         }
@@ -683,9 +682,7 @@
         Submission s = new Submission(t, t.submissions.size(), m, now);
         (t.submissions.isEmpty() ? firsts : furthers).add(now, 1);
         t.submissions.add(s);
-        if (m.out.isEmpty()) {
-            m.quietSince = now;
-        }
+        m.quietSince = m.out.isEmpty() ? now : m.quietSince;
         m.out.add(s);
         sentToKind.get(m.kind).sent.add(now, calm(t.type));
         m.credit = Math.max(0, m.credit - calm(t.type));
@@ -693,8 +690,6 @@
         alarm(min(endAt(t), now.plus(millis(2 * usual(t.type, now)))), t);
     }
 
-    // ---- a txn's life ----
-
     private void hold(Txn t, Duration now) {
         if (!t.answered && !t.held) {
             t.held = true;
@@ -812,8 +807,8 @@
         }
         m.answers.add(now, 1);
         m.slowness.add(now, ms(time) / target(m, t.type));
-        // Guards against replicas that fall behind as they are crowded: a lag well inside the bound lowers the
-        // limit while it grows, else keeps it from rising. Where answers are quick it has another cause.
+        // Guards against replicas that fall behind as they are crowded: a lag well inside the bound lowers
+        // the limit while it grows, else keeps it from rising. Where answers are quick it has another cause.
         boolean behind = m != m.group.primary && behind(m).compareTo(bound.dividedBy(4)) > 0
             && ratio(m, now) > 0.75;
         boolean growing = behind(m).compareTo(m.behindBefore) > 0;
@@ -866,7 +861,10 @@
         }
         double waited = 0;
         for (Submission s : m.out) {
-            waited += ms(now.minus(max(s.sentAt, m.quietSince))) / usual(s.txn.type, now);
+            // One that later answers have overtaken by far is stuck by itself: it says nothing of the member.
+            double usual = usual(s.txn.type, now);
+            waited += ms(m.quietSince.minus(s.sentAt)) > PATIENCE * usual ? 0
+                : ms(now.minus(max(s.sentAt, m.quietSince))) / usual;
         }
         // The last sign must be a usual answer time away as well: many out are no reason to doubt sooner.
         Txn any = m.out.iterator().next().txn;
@@ -909,7 +907,7 @@
             m.lostSince = now;
         }
         // One broken connection among answers is no loss; with the next it is left alone for a while.
-        if (m.failures < 2 && end == End.RESET) {
+        if (m.failures < 2 && (end == End.RESET || end == End.UNREACHABLE)) {
             return;
         }
         Duration pause = times(max(Duration.ofMillis(250), time("connect-time-out")),
@@ -919,7 +917,7 @@
 
     /** How many submissions the member may hold of this driver. */
     private double room(Member m, Duration now) {
-        if ((m.limit < FIRST_LIMIT / 2 && m != m.group.primary || warmth(m, now) < 1)
+        if ((m.limit < FIRST_LIMIT / 2 && (m != m.group.primary || m.group.searching) || warmth(m, now) < 1)
             && credit(m, now) < calm(types[0])) {
             return 0;
         }
--- a/src/test/java/wingroad/driver/MembersTest.java
+++ b/src/test/java/wingroad/driver/MembersTest.java
@@ -173,6 +173,32 @@
         }
     }
 
+    @Test
+    void aLargeRowComesThroughWhole() throws Exception {
+        String large = "z".repeat(1_000_000);
+        Ended e = end((sql, s) -> s.row(large, false));
+        assertThat(e.end()).isEqualTo(End.COMMITTED);
+        assertThat(e.row()).hasSizeGreaterThan(1_000_000);
+        assertThat(loop.held()).isLessThanOrEqualTo(1024);
+    }
+
+    @Test
+    void oneThatIsNoLongerThoughtOfIsLetGoWithItsConnections() throws Exception {
+        try (StandInMember m = new StandInMember(false, (sql, s) -> s.row("x", false))) {
+            carry(m.port(), LONG);
+            assertThat(next().end()).isEqualTo(End.COMMITTED);
+            BlockingQueue<Integer> left = new LinkedBlockingQueue<>();
+            loop.run(() -> {
+                members.forget(id -> false);
+                left.add(members.connections());
+            });
+            assertThat(left.poll(20, TimeUnit.SECONDS)).isZero();
+            carry(m.port(), LONG);
+            assertThat(next().end()).isEqualTo(End.COMMITTED);
+            assertThat(m.connections).hasValue(2);
+        }
+    }
+
     @Test
     void figuresThatCannotBeTrueCountAsAbsent() throws Exception {
         for (String absurd : new String[] {"999999999999999999", "-5", "1e99", Long.toString(System.currentTimeMillis() + 60_000)}) {
--- a/src/test/java/wingroad/routing/TxnRouterTest.java
+++ b/src/test/java/wingroad/routing/TxnRouterTest.java
@@ -511,4 +511,61 @@
         g.router.submissionEnded(at(now + 5), id, 0, 1, End.COMMITTED, at(5), true, Role.PRIMARY, at(now));
         g.decisions(now + 5);
     }
+
+    @Test
+    void aReadAsksAPrimaryThatIsSilentOnOneConnection() {
+        Given g = new Given().group(1, 2).roles(5, 2);
+        g.txn(10, "stuck", WRITE, 3000);
+        g.decisions(10);
+        g.txn(1400, "held", WRITE, 3000);
+        assertThat(of(Kind.SUBMIT, g.decisions(1400))).isEmpty();
+        g.txn(1410, "r", READ, 2000);
+        g.txn(1410, "s", READ, 2000);
+        // One read, not more, and its answer proves the primary; the stuck write counts for nothing from then on.
+        List<Decision> submitted = of(Kind.SUBMIT, g.decisions(1410));
+        assertThat(submitted).extracting(Decision::member).containsOnlyOnce(1L);
+        String test = submitted.stream().filter(d -> d.member() == 1).findFirst().get().txn();
+        g.ends(1420, test, 0, 1, End.COMMITTED, Role.PRIMARY);
+        assertThat(of(Kind.SUBMIT, g.decisions(1420))).extracting(Decision::txn).contains("held");
+        g.ends(1430, "held", 0, 1, End.COMMITTED, Role.PRIMARY);
+        g.txn(2900, "next", WRITE, 3000);
+        assertThat(of(Kind.SUBMIT, g.decisions(2900))).extracting(Decision::txn).contains("next");
+    }
+
+    @Test
+    void aPrimaryInDoubtServesReadsAsFarAsItsPositionIsProven() {
+        Given g = new Given().group(1, 2).roles(5);
+        g.txn(10, "w", WRITE, 3000);
+        g.decisions(10);
+        g.ends(20, "w", 0, 1, End.RESET, Role.UNKNOWN);
+        // Nothing is known of the replica; the primary's position is proven for 5, which the bound of 1000 allows yet.
+        g.txn(30, "r", READ, 2000);
+        assertThat(of(Kind.SUBMIT, g.decisions(30))).extracting(Decision::member).containsExactly(1L);
+        g.txn(1100, "late", READ, 2000);
+        assertThat(of(Kind.SUBMIT, g.decisions(1100))).isEmpty();
+    }
+
+    @Test
+    void aNewerYesEndsBeingLeftAloneForBrokenConnections() {
+        Given g = new Given().group(1, 2).roles(5, 2);
+        for (int i = 0; i < 2; i++) {
+            g.txn(10 + i, "w" + i, WRITE, 3000);
+        }
+        g.decisions(12);
+        g.ends(20, "w0", 0, 1, End.RESET, Role.UNKNOWN);
+        g.ends(21, "w1", 0, 1, End.RESET, Role.UNKNOWN);
+        g.txn(30, "next", WRITE, 3000);
+        assertThat(of(Kind.SUBMIT, g.decisions(30))).isEmpty();
+        g.says(40, 1, Role.PRIMARY, 38);
+        assertThat(of(Kind.SUBMIT, g.decisions(40))).extracting(Decision::txn).containsExactly("next");
+    }
+
+    @Test
+    void oneConnectionThatCouldNotBeMadeIsNoLoss() {
+        Given g = new Given().group(1, 2).roles(5, 2);
+        g.txn(10, "r", READ, 2000);
+        g.decisions(10);
+        g.ends(20, "r", 0, 2, End.UNREACHABLE, Role.UNKNOWN);
+        assertThat(of(Kind.SUBMIT, g.decisions(20))).extracting(Decision::member).containsExactly(2L);
+    }
 }
