--- a/src/main/java/wingroad/driver/ClientLink.java
+++ b/src/main/java/wingroad/driver/ClientLink.java
@@ -293,6 +293,10 @@
         return asked;
     }
 
+    boolean leaving() {
+        return leaving;
+    }
+
     /** It was told the end, or has said nothing for longer than the given time. */
     boolean ofNoUse(Duration now, Duration time) {
         return leaving && !link.unsent() || !started && past(connectedAt, time, now);
--- a/src/main/java/wingroad/driver/Clients.java
+++ b/src/main/java/wingroad/driver/Clients.java
@@ -19,6 +19,8 @@
 /** The client side: who is connected, and which txn types there are. */
 final class Clients {
     private static final Duration LOOK_EVERY = Duration.ofMillis(100);
+    /** Clients may hold a third of the descriptors; below a quarter none of them is without a connection. */
+    private static final int CLIENTS_SHARE = 4;
     /** Where there is no room left, one that came without a word right behind has to make it after so long. */
     private static final Duration WORD_WITHIN = Duration.ofMillis(50);
 
@@ -161,9 +163,27 @@
     void idles(ClientLink c) {
         links.remove(c);
         links.add(c);
+        letGoOfTooMany();
         door.again();
     }
 
+    /**
+     * Guards the clients against running out of connections: they hold a part of the descriptors at most, and those that
+     * ask once and stay would fill it. Over {@link #CLIENTS_SHARE} the one idle for longest is let go.
+     */
+    private void letGoOfTooMany() {
+        int asked = 0;
+        ClientLink longest = null;
+        for (ClientLink c : links.size() > loop.mostChannels() / CLIENTS_SHARE ? links : List.<ClientLink>of()) {
+            asked += c.asked() && !c.leaving() ? 1 : 0;
+            longest = longest == null && c.asked() && !c.leaving() && !c.busy() ? c : longest;
+        }
+        if (longest != null && asked > loop.mostChannels() / CLIENTS_SHARE) {
+            tally.count("idle client let go among many");
+            longest.leave();
+        }
+    }
+
     void left(ClientLink c) {
         links.remove(c);
         if (door != null) {
--- a/src/test/java/wingroad/driver/DriverIT.java
+++ b/src/test/java/wingroad/driver/DriverIT.java
@@ -405,6 +405,21 @@
         assertThat(waits.ask("").heard()).containsExactly("empty");
     }
 
+    @Test
+    void ofManyThatAskOnceAndStayTheOneIdleForLongestIsLetGo() throws Exception {
+        start(64);
+        List<Client> all = new ArrayList<>();
+        for (int i = 0; i < 16; i++) {
+            all.add(client());
+            assertThat(all.get(i).ask("").heard()).containsExactly("empty");
+        }
+        long from = System.nanoTime();
+        assertThat(all.get(0).heard()).containsExactly("end");
+        assertThat(all.get(1).heard()).containsExactly("end");
+        assertThat(System.nanoTime() - from).isLessThan(TimeUnit.SECONDS.toNanos(1));
+        assertThat(all.get(15).ask("").heard()).containsExactly("empty");
+    }
+
     @Test
     void aClientThatLeavesEndsItsSubmission() throws Exception {
         start();
