--- a/src/test/java/wingroad/driver/DriverIT.java
+++ b/src/test/java/wingroad/driver/DriverIT.java
@@ -463,6 +463,18 @@
         assertThat(driver.exitValue()).isEqualTo(143);
     }
 
+    @Test
+    void whatIsTakenAfterTheWordToStopHasItsAnswerBeforeTheKill() throws Exception {
+        Client c = start();
+        primary.script((sql, s) -> s.awaitEnd());
+        driver.destroy();
+        awaitLine("told to stop");
+        long from = System.nanoTime();
+        assertThat(c.ask(write("late").replace("d=4000", "d=60000")).heard()).containsExactly("error 08007");
+        assertThat(driver.waitFor(20, TimeUnit.SECONDS)).isTrue();
+        assertThat(System.nanoTime() - from).isLessThan(TimeUnit.SECONDS.toNanos(20));
+    }
+
     @Test
     void badInputGetsAnErrorAndReachesNoMember() throws Exception {
         Client c = start();
