--- a/src/test/java/wingroad/driver/DriverIT.java
+++ b/src/test/java/wingroad/driver/DriverIT.java
@@ -120,7 +120,12 @@
     }
 
     private void hangUp() throws Exception {
-        assertThat(new ProcessBuilder("/bin/sh", "-c", "kill -HUP " + driver.pid()).start().waitFor()).isZero();
+        send("HUP");
+    }
+
+    /** Unlike {@code destroy} this leaves the log open. */
+    private void send(String signal) throws Exception {
+        assertThat(new ProcessBuilder("/bin/sh", "-c", "kill -" + signal + " " + driver.pid()).start().waitFor()).isZero();
     }
 
     private Client client() throws IOException {
@@ -467,7 +472,7 @@
     void whatIsTakenAfterTheWordToStopHasItsAnswerBeforeTheKill() throws Exception {
         Client c = start();
         primary.script((sql, s) -> s.awaitEnd());
-        driver.destroy();
+        send("TERM");
         awaitLine("told to stop");
         long from = System.nanoTime();
         assertThat(c.ask(write("late").replace("d=4000", "d=60000")).heard()).containsExactly("error 08007");
