--- /dev/null
+++ b/src/main/java/wingroad/duty/Register.java
@@ -0,0 +1,494 @@
+package wingroad.duty;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.List;
+import java.util.Map;
+import java.util.SortedSet;
+import java.util.TreeMap;
+import java.util.TreeSet;
+import java.util.function.Predicate;
+
+/**
+ * What the council has settled: sessions, duties, their owners and epochs. Fed with the agreed log's entries in order, it
+ * comes to the same state in every voter: it reads no clock, draws nothing and iterates in order of names.
+ *
+ * <p>Rounds, the number of settled beats, are its only time: coarse, and alike everywhere.
+ */
+public final class Register {
+    private static final int MOST_SESSIONS = 1024;
+    private static final int MOST_DUTIES = 1024;
+    private static final int HISTORY = 32;
+    private static final int MOST_ANSWERS = 256;
+    /** A driver that let its leases run out k times waits two to the k rounds, at most two to this. */
+    private static final int LONGEST_WAIT = 10;
+    /** So many rounds without another loss and it is as if there had been none. */
+    private static final long FORGIVEN = 4096;
+
+    /** One driver's standing with the council. */
+    public static final class Session {
+        final String id;
+        final String identity;
+        final SortedSet<String> duties;
+        long beat;
+        final long since;
+
+        Session(String id, String identity, Collection<String> duties, long beat, long since) {
+            this.id = id;
+            this.identity = identity;
+            this.duties = new TreeSet<>(duties);
+            this.beat = beat;
+            this.since = since;
+        }
+
+        public String id() {
+            return id;
+        }
+
+        /** The driver's name: a session is "name/run". */
+        public String name() {
+            return driver(id);
+        }
+
+        public long beat() {
+            return beat;
+        }
+
+        /** Unix milliseconds by the wall clock of whoever proposed it. */
+        public long since() {
+            return since;
+        }
+    }
+
+    /** One duty; {@code owner} is a session, or empty. */
+    public static final class Duty {
+        final String name;
+        String owner = "";
+        long epoch;
+        long since;
+        long turn;
+        /** How the last turn ended; empty while it has not been told. */
+        String outcome = "";
+        /** Its owner is to give it up: to the driver named, or with "*" to any other. */
+        String wanted = "";
+        /** The session that had it last. */
+        String left = "";
+        /** Changed by the op of this number. */
+        long revision;
+        final ArrayDeque<String> history = new ArrayDeque<>();
+
+        Duty(String name) {
+            this.name = name;
+        }
+
+        public String name() {
+            return name;
+        }
+
+        public String owner() {
+            return owner;
+        }
+
+        public long epoch() {
+            return epoch;
+        }
+
+        public long since() {
+            return since;
+        }
+
+        public long turn() {
+            return turn;
+        }
+
+        public String outcome() {
+            return outcome;
+        }
+
+        public String wanted() {
+            return wanted;
+        }
+
+        public long revision() {
+            return revision;
+        }
+
+        public Collection<String> history() {
+            return history;
+        }
+    }
+
+    /** A driver's lost leases. */
+    private static final class Losses {
+        int count;
+        long until;
+        long last;
+    }
+
+    private final TreeMap<String, Session> sessions = new TreeMap<>();
+    private final TreeMap<String, Duty> duties = new TreeMap<>();
+    private final TreeMap<String, Losses> losses = new TreeMap<>();
+    /** The results of the newest asks that have a name, oldest first. */
+    private final ArrayDeque<String[]> answers = new ArrayDeque<>();
+    private long epochs;
+    private long rounds;
+    private long revision;
+
+    /** @param first the council's first epoch is the next one */
+    public Register(long first) {
+        epochs = first;
+    }
+
+    /** The driver that a session is of. */
+    public static String driver(String session) {
+        int slash = session.indexOf('/');
+        return slash < 0 ? session : session.substring(0, slash);
+    }
+
+    public Collection<Session> sessions() {
+        return sessions.values();
+    }
+
+    public Session session(String id) {
+        return sessions.get(id);
+    }
+
+    public Collection<Duty> duties() {
+        return duties.values();
+    }
+
+    public Duty duty(String name) {
+        return duties.get(name);
+    }
+
+    /** Counts the ops that were applied. */
+    public long revision() {
+        return revision;
+    }
+
+    public long rounds() {
+        return rounds;
+    }
+
+    /** Applies one settled entry; empty where it took effect or had done so before, else why it did not. */
+    public String apply(Op op) {
+        if (!op.ask().isEmpty()) {
+            for (String[] a : answers) {
+                if (a[0].equals(op.ask())) {
+                    return a[1];
+                }
+            }
+        }
+        revision++;
+        String result = switch (op.kind()) {
+            case TERM -> "";
+            case OPEN -> open(op);
+            case BEAT -> beat(op);
+            case EXPIRE -> expire(op);
+            case LEAVE -> end(op.by(), "left", op.wall());
+            case GIVE_UP -> giveUp(op);
+            case HAND_OVER -> handOver(op);
+            case TURN -> turn(op);
+            case TOLD -> told(op);
+        };
+        if (!op.ask().isEmpty()) {
+            answers.add(new String[] {op.ask(), result});
+            if (answers.size() > MOST_ANSWERS) {
+                answers.poll();
+            }
+        }
+        give(op.wall());
+        return result;
+    }
+
+    private String open(Op op) {
+        if (sessions.containsKey(op.by())) {
+            return "";
+        }
+        String name = driver(op.by());
+        for (Session s : List.copyOf(sessions.values())) {
+            if (s.name().equals(name)) {
+                if (!s.identity.equals(op.to())) {
+                    return "another driver is known by the name '" + name + "'";
+                }
+                // The same state folder, whose lock only one process can have: the former one is dead.
+                end(s.id, "restarted", op.wall());
+            }
+        }
+        if (sessions.size() >= MOST_SESSIONS) {
+            return "there are " + MOST_SESSIONS + " sessions already";
+        }
+        sessions.put(op.by(), new Session(op.by(), op.to(), op.duties(), 0, op.wall()));
+        for (String d : op.duties()) {
+            if (duties.size() < MOST_DUTIES) {
+                duties.computeIfAbsent(d, Duty::new);
+            }
+        }
+        return "";
+    }
+
+    private String beat(Op op) {
+        rounds++;
+        op.beats().forEach((id, n) -> {
+            Session s = sessions.get(id);
+            if (s != null) {
+                s.beat = Math.max(s.beat, n);
+            }
+        });
+        losses.values().removeIf(l -> rounds - l.last > FORGIVEN);
+        return "";
+    }
+
+    private String expire(Op op) {
+        Session s = sessions.get(op.by());
+        if (s == null) {
+            return "";
+        }
+        if (s.beat != op.number()) {
+            return "it was renewed since";
+        }
+        if (duties.values().stream().anyMatch(d -> d.owner.equals(s.id))) {
+            Losses l = losses.computeIfAbsent(s.name(), n -> new Losses());
+            l.count = Math.min(l.count + 1, LONGEST_WAIT);
+            l.until = rounds + (1L << l.count);
+            l.last = rounds;
+        }
+        return end(s.id, "lease ran out", op.wall());
+    }
+
+    private String end(String id, String how, long wall) {
+        if (sessions.remove(id) != null) {
+            for (Duty d : duties.values()) {
+                if (d.owner.equals(id)) {
+                    free(d, how, wall);
+                }
+            }
+        }
+        return "";
+    }
+
+    private void free(Duty d, String how, long wall) {
+        note(d, wall, driver(d.owner) + " has it no more, epoch " + d.epoch + ": " + how
+            + (d.turn > 0 && d.outcome.isEmpty() ? "; turn " + d.turn + " has run or not" : ""));
+        if (d.outcome.isEmpty() && d.turn > 0) {
+            d.outcome = "unknown";
+        }
+        d.left = d.owner;
+        d.owner = "";
+        d.revision = revision;
+    }
+
+    private static void note(Duty d, long wall, String what) {
+        d.history.add(wall + " " + what);
+        if (d.history.size() > HISTORY) {
+            d.history.poll();
+        }
+    }
+
+    private String giveUp(Op op) {
+        Duty d = held(op);
+        if (d == null) {
+            return "not held under epoch " + op.epoch();
+        }
+        free(d, "given up", op.wall());
+        return "";
+    }
+
+    private Duty held(Op op) {
+        Duty d = duties.get(op.duty());
+        return d != null && d.epoch == op.epoch() && d.owner.equals(op.by()) && !op.by().isEmpty() ? d : null;
+    }
+
+    private String handOver(Op op) {
+        Duty d = duties.get(op.duty());
+        if (d == null) {
+            return "there is no duty '" + op.duty() + "'";
+        }
+        boolean any = op.to().isEmpty();
+        boolean there = sessions.values().stream().anyMatch(s -> s.duties.contains(d.name)
+            && (any ? !s.id.equals(d.owner) : s.name().equals(op.to())));
+        if (!there) {
+            return any ? "nobody else would do it" : "'" + op.to() + "' is not there or would not do it";
+        }
+        if (!any && driver(d.owner).equals(op.to())) {
+            return "";
+        }
+        d.wanted = any ? "*" : op.to();
+        d.revision = revision;
+        return "";
+    }
+
+    private String turn(Op op) {
+        Duty d = held(op);
+        if (d == null) {
+            return "not held under epoch " + op.epoch();
+        }
+        if (op.number() != d.turn + 1) {
+            return op.number() == d.turn ? "" : "turn " + (d.turn + 1) + " is next";
+        }
+        d.turn = op.number();
+        d.outcome = "";
+        d.revision = revision;
+        return "";
+    }
+
+    private String told(Op op) {
+        Duty d = held(op);
+        if (d == null || d.turn != op.number()) {
+            return "not the turn that runs";
+        }
+        if (d.outcome.isEmpty()) {
+            d.outcome = op.to();
+            d.revision = revision;
+            note(d, op.wall(), "turn " + d.turn + " of epoch " + d.epoch + ": " + op.to());
+        }
+        return "";
+    }
+
+    /** Duties without an owner get one; who has more than its share is asked for the surplus. */
+    private void give(long wall) {
+        Map<String, Integer> load = new TreeMap<>();
+        SortedSet<String> wanted = new TreeSet<>();
+        for (Session s : sessions.values()) {
+            wanted.addAll(s.duties);
+            if (!s.duties.isEmpty()) {
+                load.put(s.id, 0);
+            }
+        }
+        for (Duty d : duties.values()) {
+            load.computeIfPresent(d.owner, (s, n) -> n + 1);
+        }
+        int cap = Shares.cap((int) duties.keySet().stream().filter(wanted::contains).count(), load.size());
+        for (Duty d : duties.values()) {
+            if (d.owner.isEmpty()) {
+                Session next = next(d, load, cap);
+                if (next != null) {
+                    d.owner = next.id;
+                    d.epoch = ++epochs;
+                    d.since = wall;
+                    d.wanted = "";
+                    d.revision = revision;
+                    note(d, wall, next.name() + " has it, epoch " + d.epoch);
+                    load.merge(next.id, 1, Integer::sum);
+                }
+            }
+        }
+        load.forEach((s, n) -> spread(s, n - cap));
+    }
+
+    private Session next(Duty d, Map<String, Integer> load, int cap) {
+        List<Session> may = new ArrayList<>();
+        for (Session s : sessions.values()) {
+            if (s.duties.contains(d.name)) {
+                if (s.name().equals(d.wanted)) {
+                    return s;
+                }
+                may.add(s);
+            }
+        }
+        // Each of these only where it leaves somebody: better a driver that loses it again than nobody.
+        keep(may, s -> !d.wanted.equals("*") || !s.id.equals(d.left));
+        keep(may, s -> !waits(s.name()));
+        keep(may, s -> load.get(s.id) < cap);
+        if (may.isEmpty()) {
+            return null;
+        }
+        TreeMap<String, Session> byName = new TreeMap<>();
+        may.forEach(s -> byName.put(s.name(), s));
+        return byName.get(Shares.most(d.name, byName.keySet()));
+    }
+
+    private static void keep(List<Session> of, Predicate<Session> which) {
+        if (of.stream().anyMatch(which)) {
+            of.removeIf(which.negate());
+        }
+    }
+
+    private boolean waits(String driver) {
+        Losses l = losses.get(driver);
+        return l != null && l.until > rounds;
+    }
+
+    private void spread(String session, int surplus) {
+        List<Duty> own = new ArrayList<>(duties.values().stream().filter(d -> d.owner.equals(session)).toList());
+        int asked = (int) own.stream().filter(d -> !d.wanted.isEmpty()).count();
+        String driver = driver(session);
+        own.removeIf(d -> !d.wanted.isEmpty() || sessions.values().stream()
+            .noneMatch(s -> !s.id.equals(session) && s.duties.contains(d.name) && !waits(s.name())));
+        own.sort((a, b) -> Long.compare(Shares.weight(a.name, driver), Shares.weight(b.name, driver)));
+        for (int i = 0; i < Math.min(surplus - asked, own.size()); i++) {
+            own.get(i).wanted = "*";
+            own.get(i).revision = revision;
+        }
+    }
+
+    // ---- as a whole ----
+
+    /** All of it, for a snapshot. */
+    public Map<String, Object> whole() {
+        Map<String, Object> all = new TreeMap<>();
+        all.put("epochs", epochs);
+        all.put("rounds", rounds);
+        all.put("revision", revision);
+        all.put("sessions", sessions.values().stream().map(s -> List.of(s.id, s.identity, List.copyOf(s.duties), s.beat,
+            s.since)).toList());
+        all.put("duties", duties.values().stream().map(d -> List.of(d.name, d.owner, d.epoch, d.since, d.turn, d.outcome,
+            d.wanted, d.left, d.revision, List.copyOf(d.history))).toList());
+        List<Object> lost = new ArrayList<>();
+        losses.forEach((n, l) -> lost.add(List.of(n, (long) l.count, l.until, l.last)));
+        all.put("losses", lost);
+        all.put("answers", answers.stream().map(a -> List.of(a[0], a[1])).toList());
+        return all;
+    }
+
+    /** Takes over a snapshot in place of all that is there. */
+    public void become(Map<?, ?> all) {
+        epochs = number(all.get("epochs"));
+        rounds = number(all.get("rounds"));
+        revision = number(all.get("revision"));
+        sessions.clear();
+        duties.clear();
+        losses.clear();
+        answers.clear();
+        for (List<?> s : lists(all.get("sessions"))) {
+            List<String> mine = new ArrayList<>();
+            ((List<?>) s.get(2)).forEach(d -> mine.add((String) d));
+            sessions.put((String) s.get(0), new Session((String) s.get(0), (String) s.get(1), mine, number(s.get(3)),
+                number(s.get(4))));
+        }
+        for (List<?> l : lists(all.get("duties"))) {
+            Duty d = new Duty((String) l.get(0));
+            d.owner = (String) l.get(1);
+            d.epoch = number(l.get(2));
+            d.since = number(l.get(3));
+            d.turn = number(l.get(4));
+            d.outcome = (String) l.get(5);
+            d.wanted = (String) l.get(6);
+            d.left = (String) l.get(7);
+            d.revision = number(l.get(8));
+            ((List<?>) l.get(9)).forEach(h -> d.history.add((String) h));
+            duties.put(d.name, d);
+        }
+        for (List<?> l : lists(all.get("losses"))) {
+            Losses lost = new Losses();
+            lost.count = (int) number(l.get(1));
+            lost.until = number(l.get(2));
+            lost.last = number(l.get(3));
+            losses.put((String) l.get(0), lost);
+        }
+        for (List<?> a : lists(all.get("answers"))) {
+            answers.add(new String[] {(String) a.get(0), (String) a.get(1)});
+        }
+    }
+
+    private static long number(Object n) {
+        return ((Number) n).longValue();
+    }
+
+    private static List<List<?>> lists(Object of) {
+        List<List<?>> all = new ArrayList<>();
+        ((List<?>) of).forEach(l -> all.add((List<?>) l));
+        return all;
+    }
+}
--- /dev/null
+++ b/src/main/java/wingroad/duty/Shares.java
@@ -0,0 +1,33 @@
+package wingroad.duty;
+
+import com.dynatrace.hash4j.hashing.Hasher64;
+import com.dynatrace.hash4j.hashing.Hashing;
+import java.util.Collection;
+import java.util.Comparator;
+
+/**
+ * Who gets a duty: rendezvous hashing, so that a driver's death moves its own duties and no others. The hash has a fixed
+ * seed, since all voters must come to the same end.
+ */
+final class Shares {
+    private static final Hasher64 HASH = Hashing.komihash5_0(0x77696e67726f6164L);
+
+    private Shares() {
+    }
+
+    /** How much this driver is meant for this duty. */
+    static long weight(String duty, String driver) {
+        return HASH.hashCharsToLong(duty + '\0' + driver);
+    }
+
+    /** The one most meant for the duty, or null where there is none. */
+    static String most(String duty, Collection<String> drivers) {
+        return drivers.stream().max(Comparator.<String>comparingLong(d -> weight(duty, d))
+            .thenComparing(Comparator.naturalOrder())).orElse(null);
+    }
+
+    /** How many duties one driver may have at most. */
+    static int cap(int duties, int drivers) {
+        return drivers == 0 ? 0 : (duties + drivers - 1) / drivers + 1;
+    }
+}
--- /dev/null
+++ b/src/main/java/wingroad/duty/Tenure.java
@@ -0,0 +1,121 @@
+package wingroad.duty;
+
+import java.time.Duration;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+
+/**
+ * A driver's own side of its session: how long its lease runs, on its own clock from before each beat was sent, and which
+ * duties it holds meanwhile. It may act only while {@link #mayAct} says so, asked with a clock read just before.
+ */
+public final class Tenure {
+    /** Beats that were sent and not yet settled; more than these are not waited for. */
+    private static final int MOST_OUT = 64;
+
+    /** A duty as it is settled. */
+    public record Held(String duty, String owner, long epoch, long turn, String outcome, String wanted) {
+    }
+
+    private record Beat(long number, Duration askedAt) {
+    }
+
+    private final Lease lease;
+    private final String session;
+    private final ArrayDeque<Beat> out = new ArrayDeque<>();
+    private final Map<String, Held> known = new TreeMap<>();
+    private long beats;
+    private Duration until = Duration.ZERO;
+    private boolean open;
+    private boolean over;
+
+    public Tenure(Lease lease, String session) {
+        this.lease = lease;
+        this.session = session;
+    }
+
+    public String session() {
+        return session;
+    }
+
+    /** The number of the next beat, which goes out now or later. */
+    public long beat(Duration now) {
+        out.add(new Beat(++beats, now));
+        if (out.size() > MOST_OUT) {
+            out.poll();
+        }
+        return beats;
+    }
+
+    /** The council has settled this beat: the lease runs from when it was asked for. */
+    public void settled(long beat) {
+        while (!out.isEmpty() && out.peek().number <= beat) {
+            Beat b = out.poll();
+            if (b.number == beat && b.askedAt.plus(lease.held()).compareTo(until) > 0) {
+                until = b.askedAt.plus(lease.held());
+            }
+        }
+    }
+
+    /** Whether the council knows this session. */
+    public void opened() {
+        open = true;
+    }
+
+    /** The council has ended the session, or it has been left: nothing is done under it any more. */
+    public void ended() {
+        over = true;
+    }
+
+    public boolean isOpen() {
+        return open && !over;
+    }
+
+    public boolean isOver() {
+        return over;
+    }
+
+    /** A duty as the council has settled it. */
+    public void told(Held duty) {
+        known.put(duty.duty, duty);
+    }
+
+    public Collection<Held> known() {
+        return known.values();
+    }
+
+    public Held known(String duty) {
+        return known.get(duty);
+    }
+
+    /** The duties that are this driver's to do, those that it is asked to give up not among them. */
+    public List<Held> mine(Duration now) {
+        List<Held> mine = new ArrayList<>();
+        for (Held h : known.values()) {
+            if (mayAct(h.duty, h.epoch, now)) {
+                mine.add(h);
+            }
+        }
+        return mine;
+    }
+
+    /** The duties that are to be given up. */
+    public List<Held> askedBack() {
+        return known.values().stream().filter(h -> h.owner.equals(session) && !h.wanted.isEmpty()).toList();
+    }
+
+    /** Whether an effect under this epoch may be started at this time. */
+    public boolean mayAct(String duty, long epoch, Duration now) {
+        Held h = known.get(duty);
+        return h != null && isOpen() && h.owner.equals(session) && h.epoch == epoch && h.wanted.isEmpty()
+            && now.compareTo(until) < 0;
+    }
+
+    /** Up to when the lease runs, on the driver's own clock. */
+    public Duration until() {
+        return until;
+    }
+}
--- /dev/null
+++ b/src/main/java/wingroad/fleet/FleetRules.java
@@ -0,0 +1,33 @@
+package wingroad.fleet;
+
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.List;
+import java.util.Map;
+import wingroad.duty.Lease;
+
+/**
+ * What the operator's file says of the fleet.
+ *
+ * @param name    the fleet's; another fleet's drivers are refused
+ * @param driver  this driver's name in it
+ * @param listen  where it listens for others, or null: it never votes
+ * @param voters  those that found the council, by name, each with the address at which this driver reaches it
+ * @param state   the folder for what must outlive the process
+ * @param chores  statements that one driver runs for all
+ */
+public record FleetRules(String name, String driver, String listen, Map<String, String> voters, Path state, Lease lease,
+                         List<Chore> chores) {
+    /** A statement for the primary of a group, once in each span. */
+    public record Chore(String name, Duration every, int group, String statement) {
+        /** The duty that stands for it. */
+        public String duty() {
+            return "chore " + name;
+        }
+    }
+
+    /** The duties that this driver would do. */
+    public List<String> duties() {
+        return chores.stream().map(Chore::duty).toList();
+    }
+}
--- /dev/null
+++ b/src/main/java/wingroad/fleet/Seat.java
@@ -0,0 +1,812 @@
+package wingroad.fleet;
+
+import io.microraft.MembershipChangeMode;
+import io.microraft.RaftConfig;
+import io.microraft.RaftEndpoint;
+import io.microraft.RaftNode;
+import io.microraft.RaftNodeStatus;
+import io.microraft.executor.RaftNodeExecutor;
+import io.microraft.model.message.RaftMessage;
+import io.microraft.persistence.RestoredRaftState;
+import io.microraft.report.RaftGroupMembers;
+import io.microraft.statemachine.StateMachine;
+import io.microraft.transport.Transport;
+import java.io.IOException;
+import java.time.Clock;
+import java.time.Duration;
+import java.time.Instant;
+import java.time.ZoneId;
+import java.time.ZoneOffset;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import wingroad.duty.Op;
+import wingroad.duty.Overdue;
+import wingroad.duty.Register;
+import wingroad.fleet.Net.Wire;
+import wingroad.fleet.Words.Endpoint;
+import wingroad.protocol.Json;
+
+/**
+ * A voter: its part in the agreed log, the state that follows from it, and the drivers that are attached to it. Free of
+ * I/O; all calls on one thread.
+ */
+final class Seat {
+    /** Whole seconds are the engine's; the lease is at least twice as long as an election takes by these. */
+    private static final RaftConfig ENGINE = RaftConfig.newBuilder().setLeaderElectionTimeoutMillis(400)
+        .setLeaderHeartbeatPeriodSecs(1).setLeaderHeartbeatTimeoutSecs(2).setCommitCountToTakeSnapshot(2000)
+        .setMaxPendingLogEntryCount(2000).setRaftNodeReportPublishPeriodSecs(3600).build();
+    private static final Duration LOOK = Duration.ofMillis(250);
+    private static final Duration PING = Duration.ofMillis(500);
+    private static final Duration SILENT = Duration.ofMillis(2500);
+    private static final Duration AGAIN = Duration.ofSeconds(5);
+    private static final int MOST_GUESTS = 1024;
+    private static final int MOST_ENDS = 64;
+
+    /** How far a voter has come. */
+    enum Phase {
+        /** It belongs to no council. */
+        FRESH,
+        /** It has state, and asks the others whether that is the newest. */
+        PROVING,
+        /** It takes part. */
+        IN,
+        /** Its state can't be written. */
+        BROKEN
+    }
+
+    private final Host host;
+    private final Net net;
+    private final FleetRules rules;
+    private final Random random;
+    private Keep keep;
+    private Register register = new Register(0);
+    private final Overdue overdue;
+    private RaftNode node;
+    private Phase phase;
+    /** Grows with each start of the engine: what a former one still wants to run is nobody's. */
+    private int life;
+    private final Map<String, Peer> peers = new TreeMap<>();
+    private final Set<Guest> guests = new LinkedHashSet<>();
+    private final Map<String, Long> beats = new TreeMap<>();
+    private final Set<String> founding = new LinkedHashSet<>();
+    private boolean pushAsked;
+    private boolean changing;
+    private boolean stopped;
+    private String said = "";
+
+    Seat(Host host, Net net, FleetRules rules, Keep keep, long seed) {
+        this.host = host;
+        this.net = net;
+        this.rules = rules;
+        this.keep = keep;
+        this.random = new Random(seed);
+        this.overdue = new Overdue(rules.lease());
+    }
+
+    void start() {
+        if (keep.wasAside() != null) {
+            host.log("fleet: state set aside as " + keep.wasAside() + "; this voter is a newcomer");
+        }
+        phase = keep.group().isEmpty() ? Phase.FRESH : Phase.PROVING;
+        rules.voters().forEach((name, address) -> {
+            if (!name.equals(rules.driver())) {
+                peers.put(name, new Peer(name, address));
+            }
+        });
+        say(phase == Phase.FRESH ? "belongs to no council yet" : "asks the others whether its state is the newest");
+        proceed();
+        look();
+        tick();
+    }
+
+    void stop() {
+        stopped = true;
+        peers.values().forEach(Peer::shut);
+        List.copyOf(guests).forEach(g -> g.wire.close());
+        leaveEngine();
+        keep.close();
+    }
+
+    Register register() {
+        return register;
+    }
+
+    Phase phase() {
+        return phase;
+    }
+
+    boolean leads() {
+        return node != null && self().equals(node.getTerm().getLeaderEndpoint());
+    }
+
+    private Endpoint self() {
+        return new Endpoint(rules.driver() + "/" + keep.identity());
+    }
+
+    private void say(String what) {
+        if (!what.equals(said)) {
+            said = what;
+            host.log("fleet: voter " + rules.driver() + " " + what);
+        }
+    }
+
+    // ---- how it comes to take part ----
+
+    private void look() {
+        if (stopped) {
+            return;
+        }
+        for (Peer p : List.copyOf(peers.values())) {
+            p.look();
+        }
+        for (Guest g : List.copyOf(guests)) {
+            if (host.now().minus(g.heardAt).compareTo(rules.lease().held()) > 0) {
+                g.wire.close();
+                guests.remove(g);
+            }
+        }
+        proceed();
+        if (phase == Phase.IN && keep.broken() != null) {
+            breaks();
+        }
+        if (phase == Phase.IN && leads()) {
+            admit();
+        }
+        keep.saveSeen();
+        host.after(LOOK, this::look);
+    }
+
+    private void proceed() {
+        try {
+            if (phase == Phase.FRESH) {
+                found();
+            } else if (phase == Phase.PROVING) {
+                prove();
+            }
+        } catch (IOException e) {
+            breaks();
+        }
+    }
+
+    /** The state can't be written: nothing is confirmed any more. What is on the disk counts once it can be. */
+    private void breaks() {
+        say("can't write its state, and votes no more: " + (keep.broken() == null ? "" : keep.broken().getMessage()));
+        leaveEngine();
+        phase = Phase.BROKEN;
+    }
+
+    /** The same voter goes on with state that was read again. */
+    void resume(Keep again) {
+        keep.close();
+        keep = again;
+        phase = keep.group().isEmpty() ? Phase.FRESH : Phase.PROVING;
+        say("has read its state again");
+        proceed();
+    }
+
+    private void leaveEngine() {
+        life++;
+        if (node != null) {
+            node.terminate();
+            node = null;
+        }
+    }
+
+    /** With no state of its own: begins a council with all that are named, unless one of them belongs to one. */
+    private void found() throws IOException {
+        if (!rules.voters().containsKey(rules.driver())) {
+            return;
+        }
+        for (Peer p : peers.values()) {
+            if (!p.group.isEmpty() && p.group.equals(keep.proposed()) && keep.founders().contains(self().id())) {
+                keep.found(p.group, keep.founders(), keep.epochs());
+                enter();
+                return;
+            }
+        }
+        String first = rules.voters().keySet().stream().sorted().findFirst().orElse("");
+        if (!first.equals(rules.driver())) {
+            return;
+        }
+        List<String> members = new ArrayList<>(List.of(self().id()));
+        for (String name : rules.voters().keySet()) {
+            Peer p = peers.get(name);
+            if (p != null) {
+                if (!p.present() || !p.group.isEmpty()) {
+                    say(p.present() ? "has no state, and waits to be let in" : "waits for " + name + " to found the council");
+                    return;
+                }
+                members.add(p.endpoint().id());
+            }
+        }
+        members.sort(null);
+        if (!members.equals(keep.founders()) || keep.proposed().isEmpty()) {
+            founding.clear();
+            keep.propose(Long.toHexString(random.nextLong()), members, host.wall() / 1000 * 1000);
+        }
+        if (founding.containsAll(members.stream().filter(m -> !m.equals(self().id())).toList())) {
+            keep.found(keep.proposed(), keep.founders(), keep.epochs());
+            say("founds council " + keep.group() + " with " + members.size() + " voters, epochs from " + keep.epochs());
+            enter();
+            return;
+        }
+        peers.values().forEach(p -> p.send(Words.letter("found", "group", keep.proposed(), "members", keep.founders(),
+            "epochs", keep.epochs())));
+    }
+
+    /** With state: takes part once enough others say that they know of nothing newer from it. */
+    private void prove() throws IOException {
+        int answers = 0;
+        for (Peer p : peers.values()) {
+            if (p.present() && p.group.equals(keep.group())) {
+                answers++;
+                if (keep.olderThan(p.seenOfUs)) {
+                    host.log("fleet: " + p.name + " knows this voter to have confirmed term " + p.seenOfUs.term() + ", entry "
+                        + p.seenOfUs.index() + ": the state here is older than it was");
+                    keep.setAside("older than it was");
+                    host.log("fleet: state set aside as " + keep.wasAside());
+                    phase = Phase.FRESH;
+                    // Who it is is said at a connection's begin.
+                    peers.values().forEach(Peer::shut);
+                    return;
+                }
+            }
+        }
+        if (answers >= rules.voters().size() / 2) {
+            enter();
+        }
+    }
+
+    private void enter() throws IOException {
+        int mine = ++life;
+        register = new Register(keep.epochs());
+        RaftNode.RaftNodeBuilder b = RaftNode.newBuilder().setGroupId(keep.group()).setConfig(ENGINE).setRandom(random)
+            .setClock(new EngineClock()).setExecutor(new EngineThread(mine)).setTransport(new EngineMail())
+            .setStateMachine(new Settled(mine)).setStore(keep).setModelFactory(Words.MODELS);
+        RestoredRaftState restored = keep.restored();
+        if (restored != null) {
+            b.setRestoredState(restored);
+        } else {
+            b.setLocalEndpoint(self()).setInitialGroupMembers(Words.endpoints(keep.founders()));
+        }
+        node = b.build();
+        phase = Phase.IN;
+        node.start();
+        say("takes part in council " + keep.group() + (restored == null ? "" : " with its state, term "
+            + restored.getTermPersistentState().getTerm()));
+    }
+
+    /** As the leader: a voter that lost its state gets the place of the one it was, one change at a time. */
+    private void admit() {
+        RaftGroupMembers members = node.getCommittedMembers();
+        if (changing || node.getStatus() != RaftNodeStatus.ACTIVE
+            || node.getEffectiveMembers().getLogIndex() != members.getLogIndex()) {
+            return;
+        }
+        for (Peer p : peers.values()) {
+            if (!p.present()) {
+                continue;
+            }
+            RaftEndpoint old = members.getMembers().stream().filter(e -> ((Endpoint) e).name().equals(p.name)
+                && !e.equals(p.endpoint())).findFirst().orElse(null);
+            if (old != null && (p.group.isEmpty() || p.group.equals(keep.group()))) {
+                change(old, MembershipChangeMode.REMOVE_MEMBER, members);
+                return;
+            }
+            if (!members.getMembers().contains(p.endpoint())) {
+                if (p.group.isEmpty()) {
+                    p.send(Words.letter("let-in", "group", keep.group(), "members", keep.founders(), "epochs", keep.epochs()));
+                } else if (p.group.equals(keep.group())) {
+                    change(p.endpoint(), MembershipChangeMode.ADD_OR_PROMOTE_TO_FOLLOWER, members);
+                    return;
+                }
+            }
+        }
+    }
+
+    private void change(RaftEndpoint who, MembershipChangeMode how, RaftGroupMembers members) {
+        changing = true;
+        host.log("fleet: voters: " + (how == MembershipChangeMode.REMOVE_MEMBER ? "takes out " : "lets in ") + who.getId());
+        node.changeMembership(who, how, members.getLogIndex()).whenComplete((done, failure) -> {
+            changing = false;
+            host.log("fleet: voters: " + who.getId() + (failure == null ? " settled" : " not settled: " + failure));
+        });
+    }
+
+    // ---- the log ----
+
+    /** Has an op settled, here or by the leader; whoever asks repeats it until it is seen. */
+    private void submit(Op op) {
+        if (node == null) {
+            return;
+        }
+        if (leads()) {
+            node.replicate(op).whenComplete((done, failure) -> {
+                // Not settled, or not known to be: whoever asked for it asks again.
+            });
+        } else {
+            toLeader(Words.letter("pass", "op", Words.of(op)));
+        }
+    }
+
+    private void toLeader(Map<String, Object> letter) {
+        RaftEndpoint leader = node.getTerm().getLeaderEndpoint();
+        Peer p = leader == null ? null : peers.get(((Endpoint) leader).name());
+        if (p != null) {
+            p.send(letter);
+        }
+    }
+
+    private void tick() {
+        if (stopped) {
+            return;
+        }
+        if (node != null) {
+            if (leads()) {
+                if (!beats.isEmpty()) {
+                    submit(Op.beat(beats).at(host.wall()));
+                }
+                overdue.ends(host.now()).stream().limit(MOST_ENDS).forEach(op -> submit(op.at(host.wall())));
+            } else if (!beats.isEmpty()) {
+                toLeader(Words.letter("beats", "beats", new TreeMap<>(beats)));
+            }
+        }
+        // What did not get through comes again with the drivers' next beats.
+        beats.clear();
+        host.after(rules.lease().beat().dividedBy(2), this::tick);
+    }
+
+    private void settled(Op op, String result) {
+        overdue.look(register, host.now());
+        if (!result.isEmpty() && op.kind() == Op.Kind.OPEN) {
+            guests.stream().filter(g -> g.session.equals(op.by())).toList()
+                .forEach(g -> g.wire.send(Words.letter("not-opened", "why", result)));
+        }
+        if (!op.ask().isEmpty()) {
+            guests.stream().filter(g -> g.asks.remove(op.ask())).toList()
+                .forEach(g -> g.wire.send(Words.letter("answer", "ask", op.ask(), "result", result)));
+        }
+        askPush();
+    }
+
+    private void askPush() {
+        if (!pushAsked) {
+            pushAsked = true;
+            host.run(() -> {
+                pushAsked = false;
+                guests.forEach(Guest::push);
+            });
+        }
+    }
+
+    /** The state that follows from the log. */
+    private final class Settled implements StateMachine {
+        private final int mine;
+
+        Settled(int mine) {
+            this.mine = mine;
+        }
+
+        @Override
+        public Object runOperation(long index, Object operation) {
+            if (mine != life) {
+                return "";
+            }
+            Op op = (Op) operation;
+            String result = register.apply(op);
+            settled(op, result);
+            return result;
+        }
+
+        @Override
+        public void takeSnapshot(long index, Consumer<Object> chunks) {
+            chunks.accept(register.whole());
+        }
+
+        @Override
+        public void installSnapshot(long index, List<Object> chunks) {
+            if (mine == life) {
+                register.become(Json.object(chunks.get(0), "a snapshot"));
+                overdue.look(register, host.now());
+                askPush();
+            }
+        }
+
+        @Override
+        public Object getNewTermOperation() {
+            return Op.term();
+        }
+    }
+
+    private final class EngineThread implements RaftNodeExecutor {
+        private final int mine;
+
+        EngineThread(int mine) {
+            this.mine = mine;
+        }
+
+        private Runnable ours(Runnable task) {
+            return () -> {
+                if (mine == life && !stopped) {
+                    task.run();
+                }
+            };
+        }
+
+        @Override
+        public void execute(Runnable task) {
+            host.run(ours(task));
+        }
+
+        @Override
+        public void submit(Runnable task) {
+            host.run(ours(task));
+        }
+
+        @Override
+        public void schedule(Runnable task, long wait, TimeUnit unit) {
+            host.after(Duration.ofNanos(unit.toNanos(wait)), ours(task));
+        }
+    }
+
+    private final class EngineMail implements Transport {
+        @Override
+        public void send(RaftEndpoint to, RaftMessage message) {
+            Peer p = peers.get(((Endpoint) to).name());
+            if (p != null && p.present() && p.endpoint().equals(to)) {
+                p.send(Words.letter("raft", "m", Words.of(message)));
+            }
+        }
+
+        @Override
+        public boolean isReachable(RaftEndpoint to) {
+            Peer p = peers.get(((Endpoint) to).name());
+            return p != null && p.present() && p.endpoint().equals(to);
+        }
+    }
+
+    /** The host's monotone clock; the engine only ever takes differences. */
+    private final class EngineClock extends Clock {
+        @Override
+        public ZoneId getZone() {
+            return ZoneOffset.UTC;
+        }
+
+        @Override
+        public Clock withZone(ZoneId zone) {
+            return this;
+        }
+
+        @Override
+        public Instant instant() {
+            return Instant.EPOCH.plus(host.now());
+        }
+    }
+
+    // ---- other voters ----
+
+    /** What this voter says of itself to a caller. */
+    private Map<String, Object> presence(String kind, String caller) {
+        Keep.Seen s = keep.seen(caller);
+        return Words.letter(kind, "fleet", rules.name(), "name", rules.driver(), "identity", keep.identity(), "group",
+            keep.group(), "term", s.term(), "entry-term", s.entryTerm(), "index", s.index(), "lead", node == null
+                || node.getTerm().getLeaderEndpoint() == null ? "" : ((Endpoint) node.getTerm().getLeaderEndpoint()).name());
+    }
+
+    /** The connection that this voter keeps to another one: what it sends goes there, what it gets comes by the other's. */
+    private final class Peer implements Net.Owner {
+        private final String name;
+        private final String address;
+        private Wire wire;
+        private boolean up;
+        private String identity = "";
+        private String group = "";
+        private Keep.Seen seenOfUs = new Keep.Seen(0, 0, 0);
+        private Duration heardAt = Duration.ZERO;
+        private Duration pingedAt = Duration.ZERO;
+        private Duration openAt = Duration.ZERO;
+        private String refusal = "";
+
+        Peer(String name, String address) {
+            this.name = name;
+            this.address = address;
+        }
+
+        Endpoint endpoint() {
+            return new Endpoint(name + "/" + identity);
+        }
+
+        boolean present() {
+            return up && !identity.isEmpty();
+        }
+
+        void send(Map<String, Object> letter) {
+            if (up) {
+                wire.send(letter);
+            }
+        }
+
+        void look() {
+            Duration now = host.now();
+            if (wire == null) {
+                if (now.compareTo(openAt) >= 0) {
+                    heardAt = now;
+                    wire = net.open(address, this);
+                }
+            } else if (now.minus(heardAt).compareTo(SILENT) > 0) {
+                shut();
+            } else if (up && now.minus(pingedAt).compareTo(PING) >= 0) {
+                pingedAt = now;
+                wire.send(Words.letter("ping"));
+            }
+        }
+
+        @Override
+        public void up(Wire w) {
+            up = true;
+            w.send(Words.letter("hello", "fleet", rules.name(), "name", rules.driver(), "role", "voter", "identity",
+                keep.identity(), "group", keep.group()));
+        }
+
+        @Override
+        public void letter(Wire w, Map<String, Object> m) {
+            heardAt = host.now();
+            switch (Words.text(m, "k")) {
+                case "here" -> {
+                    identity = Words.text(m, "identity");
+                    group = Words.text(m, "group");
+                    seenOfUs = new Keep.Seen((int) Words.number(m, "term"), (int) Words.number(m, "entry-term"),
+                        Words.number(m, "index"));
+                    refusal = "";
+                    proceed();
+                }
+                case "founding" -> {
+                    if (Words.text(m, "group").equals(keep.proposed()) && present()) {
+                        founding.add(endpoint().id());
+                        proceed();
+                    }
+                }
+                case "refused" -> {
+                    if (!refusal.equals(Words.text(m, "why"))) {
+                        refusal = Words.text(m, "why");
+                        host.log("fleet: refused by " + name + " at " + address + ": " + refusal);
+                    }
+                    shut();
+                    openAt = host.now().plus(AGAIN);
+                }
+                default -> {
+                    // of a later version
+                }
+            }
+        }
+
+        @Override
+        public void ended(Wire w, String how) {
+            shut();
+        }
+
+        void shut() {
+            if (wire != null) {
+                wire.close();
+            }
+            wire = null;
+            up = false;
+            identity = "";
+            group = "";
+            openAt = host.now().plus(LOOK);
+        }
+    }
+
+    // ---- who comes ----
+
+    /** A connection that another driver has opened to this one. */
+    Net.Owner guest() {
+        return new Guest();
+    }
+
+    private final class Guest implements Net.Owner {
+        private Wire wire;
+        private String role = "";
+        private String name = "";
+        private String endpoint = "";
+        private String session = "";
+        private Duration heardAt = host.now();
+        private long sentRevision = -1;
+        private long sentBeat = -1;
+        private boolean sentOpen;
+        private final Set<String> asks = new LinkedHashSet<>();
+
+        @Override
+        public void up(Wire w) {
+            wire = w;
+            if (guests.size() >= MOST_GUESTS || stopped) {
+                w.close();
+            } else {
+                guests.add(this);
+            }
+        }
+
+        @Override
+        public void ended(Wire w, String how) {
+            guests.remove(this);
+        }
+
+        @Override
+        public void letter(Wire w, Map<String, Object> m) {
+            heardAt = host.now();
+            try {
+                String kind = Words.text(m, "k");
+                if (kind.equals("hello")) {
+                    hello(m);
+                } else if (role.isEmpty()) {
+                    refuse("no hello");
+                } else if (role.equals("voter")) {
+                    fromVoter(kind, m);
+                } else {
+                    fromDriver(kind, m);
+                }
+            } catch (Json.Malformed | IllegalArgumentException | ClassCastException e) {
+                refuse("broken letter: " + e.getMessage());
+            } catch (IOException e) {
+                breaks();
+            }
+        }
+
+        private void refuse(String why) {
+            wire.send(Words.letter("refused", "why", why));
+        }
+
+        private void hello(Map<String, Object> m) {
+            name = Words.text(m, "name");
+            String group = Words.text(m, "group");
+            if (!Words.text(m, "fleet").equals(rules.name())) {
+                refuse("this is fleet '" + rules.name() + "'");
+            } else if (!group.isEmpty() && !keep.group().isEmpty() && !group.equals(keep.group())) {
+                refuse("this is council " + keep.group() + " of fleet '" + rules.name() + "'");
+            } else {
+                role = Words.text(m, "role");
+                endpoint = name + "/" + Words.text(m, "identity");
+                session = role.equals("driver") ? name + "/" + Words.text(m, "run") : "";
+                wire.send(presence("here", endpoint));
+                push();
+            }
+        }
+
+        private void fromVoter(String kind, Map<String, Object> m) throws IOException {
+            switch (kind) {
+                case "ping" -> wire.send(presence("here", endpoint));
+                case "raft" -> {
+                    RaftMessage message = Words.message(Json.object(m.get("m"), "a message"));
+                    saw(message);
+                    if (node != null && keep.group().equals(message.getGroupId())) {
+                        node.handle(message);
+                    }
+                }
+                case "pass" -> {
+                    Op op = Words.op(Json.object(m.get("op"), "an op"));
+                    if (node != null && leads()) {
+                        submit(op);
+                    }
+                }
+                case "beats" -> Words.beats(m.get("beats")).forEach((s, n) -> beats.merge(s, n, Math::max));
+                case "found" -> {
+                    List<String> members = Words.texts(m.get("members"));
+                    if (phase == Phase.FRESH && members.contains(self().id())) {
+                        if (!Words.text(m, "group").equals(keep.proposed())) {
+                            keep.propose(Words.text(m, "group"), members, Words.number(m, "epochs"));
+                        }
+                        wire.send(Words.letter("founding", "group", keep.proposed()));
+                    }
+                }
+                case "let-in" -> {
+                    if (phase == Phase.FRESH) {
+                        keep.found(Words.text(m, "group"), Words.texts(m.get("members")), Words.number(m, "epochs"));
+                        enter();
+                    }
+                }
+                default -> refuse("not a voter's: " + kind);
+            }
+        }
+
+        /** What a voter sends proves how far its own state has come. */
+        private void saw(RaftMessage message) {
+            String sender = (String) message.getSender().getId();
+            if (sender.equals(endpoint)) {
+                long index = message instanceof io.microraft.model.message.AppendEntriesSuccessResponse r
+                    ? r.getLastLogIndex() : 0;
+                Keep.Seen old = keep.seen(sender);
+                Keep.Seen now = old.with(message.getTerm(), index);
+                if (now != old) {
+                    keep.saw(sender, now);
+                }
+            }
+        }
+
+        private void fromDriver(String kind, Map<String, Object> m) {
+            switch (kind) {
+                case "beat" -> {
+                    if (!session.isEmpty()) {
+                        beats.merge(session, Words.number(m, "n"), Math::max);
+                    }
+                }
+                case "ask" -> {
+                    Op op = Words.op(Json.object(m.get("op"), "an op"));
+                    boolean own = op.by().equals(session) && !session.isEmpty();
+                    if (own || op.kind() == Op.Kind.HAND_OVER) {
+                        if (!op.ask().isEmpty()) {
+                            asks.add(op.ask());
+                        }
+                        submit(op.at(host.wall()));
+                    } else {
+                        refuse("not this session's");
+                    }
+                }
+                case "again" -> {
+                    // The same connection goes on under another session.
+                    session = name + "/" + Words.text(m, "run");
+                    sentRevision = -1;
+                    sentBeat = -1;
+                    push();
+                }
+                case "status" -> wire.send(Words.letter("status", "status", status()));
+                default -> refuse("not a driver's: " + kind);
+            }
+        }
+
+        /** Tells what is settled and not told yet. */
+        private void push() {
+            if (session.isEmpty() || node == null) {
+                return;
+            }
+            Register.Session s = register.session(session);
+            List<Object> duties = new ArrayList<>();
+            for (Register.Duty d : register.duties()) {
+                if (d.revision() > sentRevision) {
+                    duties.add(List.of(d.name(), d.owner(), d.epoch(), d.turn(), d.outcome(), d.wanted()));
+                }
+            }
+            long beat = s == null ? -1 : s.beat();
+            if (beat != sentBeat || !duties.isEmpty() || sentRevision < 0 || sentOpen != (s != null)) {
+                sentBeat = beat;
+                sentOpen = s != null;
+                wire.send(Words.letter("settled", "rev", register.revision(), "open", s != null, "beat", beat, "duties",
+                    duties));
+            }
+            sentRevision = register.revision();
+        }
+    }
+
+    // ---- for people ----
+
+    /** All that an operator may want to know, as plain values. */
+    Map<String, Object> status() {
+        Map<String, Object> all = new HashMap<>();
+        all.put("fleet", rules.name());
+        all.put("voter", rules.driver());
+        all.put("phase", phase.name());
+        all.put("council", keep.group());
+        all.put("term", node == null ? 0L : (long) node.getTerm().getTerm());
+        RaftEndpoint leader = node == null ? null : node.getTerm().getLeaderEndpoint();
+        all.put("leader", leader == null ? "" : ((Endpoint) leader).name());
+        all.put("voters", node == null ? List.of() : node.getCommittedMembers().getMembers().stream()
+            .map(e -> ((Endpoint) e).name()).sorted().toList());
+        all.put("revision", register.revision());
+        all.put("sessions", register.sessions().stream().map(s -> {
+            Duration quiet = overdue.quiet(s.id(), host.now());
+            return Words.letter("session", "name", s.name(), "run", s.id(), "since", s.since(), "quiet-ms",
+                quiet == null ? -1 : quiet.toMillis());
+        }).toList());
+        all.put("duties", register.duties().stream().map(d -> Words.letter("duty", "name", d.name(), "owner",
+            Register.driver(d.owner()), "epoch", d.epoch(), "since", d.since(), "turn", d.turn(), "outcome", d.outcome(),
+            "wanted", d.wanted(), "history", List.copyOf(d.history()))).toList());
+        return all;
+    }
+}
