A fleet in virtual time: short histories with faults, and wrongs that the checker finds

Need: the consensus and leases are to be tried with faults before sockets. SimFleet plays the program's own code on clocks that drift, links that hold, break and deliver late, and disks that lose what was not flushed. Seeded wrongs (no fence, lease from the answer, vote forgotten) are each found, in tests.

--- a/src/main/java/wingroad/duty/Tenure.java
+++ b/src/main/java/wingroad/duty/Tenure.java
@@ -12,7 +12,7 @@
  * A driver's own side of its session: how long its lease runs, on its own clock from before each beat was sent, and which
  * duties it holds meanwhile. It may act only while {@link #mayAct} says so, asked with a clock read just before.
  */
-public final class Tenure {
+public class Tenure {
     /** Beats that were sent and not yet settled; more than these are not waited for. */
     private static final int MOST_OUT = 64;
 
@@ -51,15 +51,21 @@
     }
 
     /** The council has settled this beat: the lease runs from when it was asked for. */
-    public void settled(long beat) {
+    public void settled(long beat, Duration now) {
         while (!out.isEmpty() && out.peek().number <= beat) {
             Beat b = out.poll();
-            if (b.number == beat && b.askedAt.plus(lease.held()).compareTo(until) > 0) {
-                until = b.askedAt.plus(lease.held());
+            if (b.number == beat) {
+                Duration runs = from(b.askedAt, now).plus(lease.held());
+                until = runs.compareTo(until) > 0 ? runs : until;
             }
         }
     }
 
+    /** Where a lease begins that was asked for and heard of at these times. */
+    protected Duration from(Duration askedAt, Duration heardAt) {
+        return askedAt;
+    }
+
     /** Whether the council knows this session. */
     public void opened() {
         open = true;
--- /dev/null
+++ b/src/main/java/wingroad/fleet/Attendant.java
@@ -0,0 +1,270 @@
+package wingroad.fleet;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Function;
+import java.util.function.Supplier;
+import wingroad.duty.Op;
+import wingroad.duty.Tenure;
+import wingroad.fleet.Net.Wire;
+import wingroad.protocol.Json;
+
+/**
+ * A driver's side of the fleet: its session with the council by way of one voter, and another one when that falls silent.
+ * What it asks it asks again with each beat until it sees it settled. Free of I/O; all calls on one thread.
+ */
+final class Attendant implements Net.Owner {
+    private static final Duration REFUSED_AGAIN = Duration.ofSeconds(2);
+
+    /** Who does the duties. */
+    interface Doer {
+        /** Something is settled, or time has passed: a look at what is to be done. */
+        void look();
+
+        /** Whether work under this duty has begun and not ended. */
+        boolean busy(String duty);
+    }
+
+    private final Host host;
+    private final Net net;
+    private final FleetRules rules;
+    private final String identity;
+    private final Supplier<String> runs;
+    private final Function<String, Tenure> tenures;
+    private final List<String> order = new ArrayList<>();
+    private final Map<String, Op> asks = new LinkedHashMap<>();
+    private Doer doer;
+    private Tenure tenure;
+    private Wire wire;
+    private boolean up;
+    private int at;
+    private Duration heardAt;
+    private Duration openAt = Duration.ZERO;
+    private long revision = -1;
+    private boolean opened;
+    private boolean leaving;
+    private Runnable left;
+    private boolean stopped;
+    private String refusal = "";
+    private boolean hadLease;
+
+    /**
+     * @param identity of the state folder
+     * @param runs     gives a new session's part behind the driver's name
+     * @param tenures  makes the driver's side of a session
+     */
+    Attendant(Host host, Net net, FleetRules rules, String identity, Supplier<String> runs,
+              Function<String, Tenure> tenures) {
+        this.host = host;
+        this.net = net;
+        this.rules = rules;
+        this.identity = identity;
+        this.runs = runs;
+        this.tenures = tenures;
+        order.addAll(rules.voters().keySet());
+        // Its own seat first; else spread over the voters by name.
+        order.sort(Comparator.<String>comparingInt(v -> v.equals(rules.driver()) ? 0 : 1)
+            .thenComparing(v -> (v + '/' + rules.driver()).hashCode()));
+        tenure = tenures.apply(rules.driver() + "/" + runs.get());
+    }
+
+    void start(Doer work) {
+        doer = work;
+        heardAt = host.now();
+        beat();
+    }
+
+    Tenure tenure() {
+        return tenure;
+    }
+
+    /** Asks for this until it is withdrawn; at most one ask by a name. */
+    void ask(String name, Op op) {
+        if (!op.equals(asks.put(name, op))) {
+            send(op);
+        }
+    }
+
+    void withdraw(String name) {
+        asks.remove(name);
+    }
+
+    /** Nothing is done under any duty from now on; {@code then} runs once that is settled, if it is. */
+    void leave(Runnable then) {
+        leaving = true;
+        left = then;
+        tenure.ended();
+        asks.clear();
+        send(Op.leave(tenure.session()));
+    }
+
+    void stop() {
+        stopped = true;
+        shut();
+    }
+
+    private void send(Op op) {
+        if (up) {
+            wire.send(Words.letter("ask", "op", Words.of(op)));
+        }
+    }
+
+    private void beat() {
+        if (stopped) {
+            return;
+        }
+        Duration now = host.now();
+        if (wire == null && now.compareTo(openAt) >= 0) {
+            heardAt = now;
+            wire = net.open(rules.voters().get(order.get(at)), this);
+        } else if (wire != null && now.minus(heardAt).compareTo(rules.lease().held().dividedBy(3)) > 0) {
+            // Nothing is settled there: it may be cut off itself.
+            next();
+        }
+        if (up) {
+            if (leaving) {
+                send(Op.leave(tenure.session()));
+            } else {
+                if (!opened) {
+                    send(Op.open(tenure.session(), identity, rules.duties()));
+                }
+                wire.send(Words.letter("beat", "n", tenure.beat(now)));
+                asks.values().forEach(this::send);
+            }
+        }
+        tellLease(now);
+        giveBack();
+        doer.look();
+        host.after(rules.lease().beat(), this::beat);
+    }
+
+    private void tellLease(Duration now) {
+        boolean has = tenure.isOpen() && now.compareTo(tenure.until()) < 0;
+        if (has != hadLease) {
+            hadLease = has;
+            host.log(has ? "fleet: lease of " + tenure.session() + " runs, by " + order.get(at)
+                : "fleet: lease of " + tenure.session() + " has run out; its duties stand still here");
+        }
+    }
+
+    /** What is asked back is given up as soon as nothing of it runs. */
+    private void giveBack() {
+        for (Tenure.Held h : tenure.askedBack()) {
+            if (!doer.busy(h.duty())) {
+                ask("give " + h.duty(), Op.giveUp(tenure.session(), h.duty(), h.epoch()));
+            }
+        }
+        asks.keySet().removeIf(n -> n.startsWith("give ")
+            && tenure.askedBack().stream().noneMatch(h -> n.equals("give " + h.duty())));
+    }
+
+    private void next() {
+        shut();
+        at = (at + 1) % order.size();
+        openAt = host.now();
+    }
+
+    private void shut() {
+        if (wire != null) {
+            wire.close();
+        }
+        wire = null;
+        up = false;
+    }
+
+    @Override
+    public void up(Wire w) {
+        up = true;
+        w.send(Words.letter("hello", "fleet", rules.name(), "name", rules.driver(), "role", "driver", "identity", identity,
+            "run", run()));
+    }
+
+    private String run() {
+        return tenure.session().substring(tenure.session().indexOf('/') + 1);
+    }
+
+    @Override
+    public void letter(Wire w, Map<String, Object> m) {
+        switch (Words.text(m, "k")) {
+            case "settled" -> settled(m);
+            case "refused" -> {
+                refused(order.get(at) + ": " + Words.text(m, "why"));
+                next();
+                openAt = host.now().plus(REFUSED_AGAIN);
+            }
+            case "not-opened" -> refused(Words.text(m, "why"));
+            default -> {
+                // of no concern here
+            }
+        }
+    }
+
+    private void refused(String why) {
+        if (!why.equals(refusal)) {
+            refusal = why;
+            host.log("fleet: no session: " + why);
+        }
+    }
+
+    private void settled(Map<String, Object> m) {
+        long rev = Words.number(m, "rev");
+        if (rev < revision) {
+            // A voter that lags: what it knows has been overtaken.
+            return;
+        }
+        heardAt = host.now();
+        revision = rev;
+        for (Object o : Json.list(m, "duties")) {
+            List<?> d = (List<?>) o;
+            tenure.told(new Tenure.Held((String) d.get(0), (String) d.get(1), ((Number) d.get(2)).longValue(),
+                ((Number) d.get(3)).longValue(), (String) d.get(4), (String) d.get(5)));
+        }
+        boolean open = Boolean.TRUE.equals(m.get("open"));
+        if (open) {
+            opened = true;
+            refusal = "";
+            tenure.opened();
+            tenure.settled(Words.number(m, "beat"), host.now());
+        } else if (leaving) {
+            if (left != null) {
+                left.run();
+                left = null;
+            }
+            return;
+        } else if (opened) {
+            begin();
+        }
+        tellLease(host.now());
+        giveBack();
+        doer.look();
+    }
+
+    /** The council has ended the session: another one is opened, and nothing is done under the old one. */
+    private void begin() {
+        Tenure old = tenure;
+        old.ended();
+        asks.clear();
+        opened = false;
+        tenure = tenures.apply(rules.driver() + "/" + runs.get());
+        old.known().forEach(tenure::told);
+        host.log("fleet: the council has ended " + old.session() + "; opens " + tenure.session());
+        if (up) {
+            wire.send(Words.letter("again", "run", run()));
+            send(Op.open(tenure.session(), identity, rules.duties()));
+        }
+    }
+
+    @Override
+    public void ended(Wire w, String how) {
+        next();
+    }
+
+    /** Which voter it is attached to, for people. */
+    String by() {
+        return up ? order.get(at) : "";
+    }
+}
--- /dev/null
+++ b/src/main/java/wingroad/fleet/Chores.java
@@ -0,0 +1,114 @@
+package wingroad.fleet;
+
+import java.time.Duration;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import wingroad.duty.Op;
+import wingroad.duty.Tenure;
+import wingroad.duty.Turns;
+import wingroad.fleet.FleetRules.Chore;
+
+/**
+ * The chores' turns. A turn is settled in the log before its statement is sent, so that no other turn has its number; the
+ * statement goes out once, under the epoch, if the lease still runs then.
+ */
+final class Chores implements Attendant.Doer {
+    /** What runs a chore's statement for the group's primary. */
+    interface Runner {
+        /**
+         * Runs it once if that may still be, and says how it ended, on the fleet's thread.
+         *
+         * @param until on the host's clock, when it may no more be begun
+         */
+        void run(Chore chore, long epoch, long turn, Duration until, Ended ended);
+    }
+
+    /** Hears how a statement ended, once. */
+    interface Ended {
+        void ended(String outcome);
+    }
+
+    private static final class Course {
+        final Chore chore;
+        final Turns turns;
+        /** The turn that was asked for, under which epoch. */
+        long asked;
+        long askedEpoch;
+        long begun;
+        boolean running;
+
+        Course(Chore chore) {
+            this.chore = chore;
+            turns = new Turns(chore.every());
+        }
+    }
+
+    private final Host host;
+    private final Attendant attendant;
+    private final Runner runner;
+    private final Map<String, Course> courses = new LinkedHashMap<>();
+
+    Chores(Host host, FleetRules rules, Attendant attendant, Runner runner) {
+        this.host = host;
+        this.attendant = attendant;
+        this.runner = runner;
+        rules.chores().forEach(c -> courses.put(c.duty(), new Course(c)));
+    }
+
+    @Override
+    public boolean busy(String duty) {
+        Course c = courses.get(duty);
+        return c != null && c.running;
+    }
+
+    @Override
+    public void look() {
+        Tenure tenure = attendant.tenure();
+        courses.forEach((duty, c) -> {
+            Tenure.Held h = tenure.known(duty);
+            if (h != null) {
+                look(c, h, tenure);
+            }
+        });
+    }
+
+    private void look(Course c, Tenure.Held h, Tenure tenure) {
+        Duration now = host.now();
+        long missed = c.turns.heard(h.turn(), now);
+        if (missed > 0) {
+            host.log("fleet: " + h.duty() + ": " + missed + " turns missed before turn " + h.turn());
+        }
+        String told = "told " + h.duty();
+        if (!h.outcome().isEmpty() || !h.owner().equals(tenure.session())) {
+            attendant.withdraw(told);
+        }
+        if (!tenure.mayAct(h.duty(), h.epoch(), now)) {
+            attendant.withdraw("turn " + h.duty());
+            c.asked = 0;
+            return;
+        }
+        if (c.asked > 0 && c.askedEpoch == h.epoch() && h.turn() == c.asked && c.begun < c.asked) {
+            attendant.withdraw("turn " + h.duty());
+            begin(c, h, tenure);
+        }
+        long due = c.turns.due(now);
+        if (due > 0 && !c.running && due != c.asked) {
+            c.asked = due;
+            c.askedEpoch = h.epoch();
+            attendant.ask("turn " + h.duty(), Op.turn(tenure.session(), h.duty(), h.epoch(), due));
+        }
+    }
+
+    private void begin(Course c, Tenure.Held h, Tenure tenure) {
+        c.begun = c.asked;
+        c.running = true;
+        long turn = c.asked;
+        String session = tenure.session();
+        runner.run(c.chore, h.epoch(), turn, tenure.until(), outcome -> {
+            c.running = false;
+            host.log("fleet: " + h.duty() + " turn " + turn + " epoch " + h.epoch() + ": " + outcome);
+            attendant.ask("told " + h.duty(), Op.told(session, h.duty(), h.epoch(), turn, outcome));
+            look();
+        });
+    }
+}
--- a/src/main/java/wingroad/fleet/Seat.java
+++ b/src/main/java/wingroad/fleet/Seat.java
@@ -6,6 +6,9 @@
 import io.microraft.RaftNode;
 import io.microraft.RaftNodeStatus;
 import io.microraft.executor.RaftNodeExecutor;
+import io.microraft.model.message.AppendEntriesSuccessResponse;
+import io.microraft.model.message.PreVoteRequest;
+import io.microraft.model.message.PreVoteResponse;
 import io.microraft.model.message.RaftMessage;
 import io.microraft.persistence.RestoredRaftState;
 import io.microraft.report.RaftGroupMembers;
@@ -719,9 +722,10 @@
         /** What a voter sends proves how far its own state has come. */
         private void saw(RaftMessage message) {
             String sender = (String) message.getSender().getId();
-            if (sender.equals(endpoint)) {
-                long index = message instanceof io.microraft.model.message.AppendEntriesSuccessResponse r
-                    ? r.getLastLogIndex() : 0;
+            // A poll before an election names a term that nobody has written down yet.
+            boolean poll = message instanceof PreVoteRequest || message instanceof PreVoteResponse;
+            if (sender.equals(endpoint) && !poll) {
+                long index = message instanceof AppendEntriesSuccessResponse r ? r.getLastLogIndex() : 0;
                 Keep.Seen old = keep.seen(sender);
                 Keep.Seen now = old.with(message.getTerm(), index);
                 if (now != old) {
--- /dev/null
+++ b/src/test/java/wingroad/fleet/SimFleet.java
@@ -0,0 +1,676 @@
+package wingroad.fleet;
+
+import io.microraft.model.message.VoteRequest;
+import io.microraft.model.message.VoteResponse;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.PriorityQueue;
+import java.util.Random;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.function.BiConsumer;
+import java.util.function.Function;
+import wingroad.duty.Fence;
+import wingroad.duty.Lease;
+import wingroad.duty.Tenure;
+
+/**
+ * A fleet in virtual time: the program's own code on played clocks, links and disks, with faults drawn from a seed, and a
+ * checker of what each process might do and what the receiver accepted.
+ */
+final class SimFleet {
+    /** Wrongs that are put in to see whether the checker finds them. */
+    enum Wrong {
+        NONE, NO_FENCE, LEASE_FROM_ANSWER, VOTE_FORGOTTEN
+    }
+
+    static final Duration LEASE = Duration.ofSeconds(4);
+    static final double DRIFT = 0.05;
+
+    private record Event(long at, long seq, Runnable task) implements Comparable<Event> {
+        @Override
+        public int compareTo(Event o) {
+            return at != o.at ? Long.compare(at, o.at) : Long.compare(seq, o.seq);
+        }
+    }
+
+    final Random random;
+    final Wrong wrong;
+    final List<String> broken = new ArrayList<>();
+    final List<String> lines = new ArrayList<>();
+    final Map<String, Proc> procs = new LinkedHashMap<>();
+    final Map<String, String> voters = new TreeMap<>();
+    final Receiver receiver = new Receiver();
+    private final List<FleetRules.Chore> chores = new ArrayList<>();
+    private final PriorityQueue<Event> events = new PriorityQueue<>();
+    private final List<Pipe> pipes = new ArrayList<>();
+    /** Directions that are held, "from>to". */
+    private final Set<String> held = new HashSet<>();
+    private final Map<String, String> votes = new HashMap<>();
+    long now;
+    private long seq;
+    long bytes;
+    int faults;
+    int lateRefused;
+
+    SimFleet(long seed, int drivers, int voting, int duties, Wrong wrong) {
+        random = new Random(seed);
+        this.wrong = wrong;
+        for (int i = 0; i < voting; i++) {
+            voters.put(name(i), name(i));
+        }
+        for (int i = 0; i < duties; i++) {
+            chores.add(new FleetRules.Chore("c" + i, Duration.ofMillis(800), 7, "SELECT f({epoch})"));
+        }
+        for (int i = 0; i < drivers; i++) {
+            Proc p = new Proc(name(i));
+            procs.put(p.name, p);
+        }
+    }
+
+    static String name(int i) {
+        return String.format("d%03d", i);
+    }
+
+    void at(long when, Runnable task) {
+        events.add(new Event(Math.max(when, now), seq++, task));
+    }
+
+    /** Plays on for so many milliseconds. */
+    void play(long ms) {
+        long end = now + ms * 1_000_000;
+        while (!events.isEmpty() && events.peek().at <= end) {
+            Event e = events.poll();
+            now = e.at;
+            e.task.run();
+        }
+        now = end;
+    }
+
+    void line(String who, String text) {
+        lines.add(now / 1_000_000 + " " + who + " " + text);
+    }
+
+    void breaks(String what) {
+        broken.add(now / 1_000_000 + " " + what);
+        line("!", what);
+    }
+
+    /** The process whose state folder this was goes on. */
+    final class Proc implements Host {
+        final String name;
+        MemoryRows rows = new MemoryRows();
+        MemoryRows backup;
+        String identity = Long.toHexString(random.nextLong());
+        boolean alive;
+        boolean paused;
+        private int life;
+        /** How fast its clock runs, within the bound. */
+        final double rate = 1 + (random.nextDouble() * 2 - 1) * DRIFT;
+        private final long offset = random.nextInt(1_000_000_000);
+        private final ArrayDeque<Runnable> waiting = new ArrayDeque<>();
+        Seat seat;
+        Attendant attendant;
+        Chores work;
+
+        Proc(String name) {
+            this.name = name;
+        }
+
+        void start() {
+            alive = true;
+            paused = false;
+            waiting.clear();
+            life++;
+            Map<String, String> reach = new LinkedHashMap<>(voters);
+            FleetRules rules = new FleetRules("f", name, voters.get(name), reach, Path.of("."), new Lease(LEASE, DRIFT),
+                chores);
+            Net net = (address, owner) -> open(this, address, owner);
+            seat = null;
+            if (voters.containsKey(name)) {
+                seat = new Seat(this, net, rules, keep(), random.nextLong());
+                seat.start();
+            }
+            Function<String, Tenure> tenures = wrong == Wrong.LEASE_FROM_ANSWER ? s -> new FromAnswer(rules.lease(), s)
+                : s -> new Tenure(rules.lease(), s);
+            attendant = new Attendant(this, net, rules, identity, () -> Long.toHexString(random.nextLong()), tenures);
+            work = new Chores(this, rules, attendant, this::effect);
+            attendant.start(work);
+        }
+
+        private Keep keep() {
+            try {
+                return new Keep(rows, () -> Long.toHexString(random.nextLong()));
+            } catch (IOException e) {
+                throw new UncheckedIOException(e);
+            }
+        }
+
+        void kill() {
+            if (alive) {
+                alive = false;
+                life++;
+                rows = rows.afterKill();
+                if (wrong == Wrong.VOTE_FORGOTTEN) {
+                    forgetVote();
+                }
+                for (Pipe p : List.copyOf(pipes)) {
+                    p.processEnds(this);
+                }
+            }
+        }
+
+        /** As a voter that does not write its vote down. */
+        private void forgetVote() {
+            byte[] row = rows.all(Rows.Table.META).get(3L);
+            if (row != null) {
+                Map<String, Object> t = Cbor.map(java.util.Arrays.copyOfRange(row, 4, row.length));
+                byte[] body = Cbor.write(Words.letter("t", "term", Words.number(t, "term"), "voted", ""));
+                java.util.zip.CRC32C sum = new java.util.zip.CRC32C();
+                sum.update(body, 0, body.length);
+                try {
+                    rows.put(Rows.Table.META, 3, java.nio.ByteBuffer.allocate(4 + body.length).putInt((int) sum.getValue())
+                        .put(body).array());
+                    rows.flush();
+                } catch (IOException e) {
+                    throw new UncheckedIOException(e);
+                }
+            }
+        }
+
+        void loseState() {
+            rows = new MemoryRows();
+            identity = Long.toHexString(random.nextLong());
+        }
+
+        void resume() {
+            paused = false;
+            int mine = life;
+            while (!waiting.isEmpty() && !paused && mine == life) {
+                waiting.poll().run();
+            }
+        }
+
+        /** Runs the task on this process's thread, unless the process has ended by then. */
+        void task(long when, Runnable task) {
+            int mine = life;
+            at(when, () -> {
+                if (mine == life) {
+                    if (paused) {
+                        waiting.add(() -> {
+                            if (mine == life) {
+                                task.run();
+                            }
+                        });
+                    } else {
+                        task.run();
+                    }
+                }
+            });
+        }
+
+        @Override
+        public Duration now() {
+            return Duration.ofNanos(offset + (long) (now * rate));
+        }
+
+        @Override
+        public long wall() {
+            return 1_700_000_000_000L + now / 1_000_000;
+        }
+
+        @Override
+        public void run(Runnable task) {
+            task(now, task);
+        }
+
+        @Override
+        public void after(Duration wait, Runnable task) {
+            task(now + (long) (wait.toNanos() / rate), task);
+        }
+
+        @Override
+        public void log(String text) {
+            line(name, text);
+        }
+
+        /** The clock is read, and then anything may happen before the effect is out. */
+        private void effect(FleetRules.Chore chore, long epoch, long turn, Duration until, Chores.Ended ended) {
+            if (now().compareTo(until) >= 0) {
+                ended.ended("not begun: no lease");
+                return;
+            }
+            if (random.nextInt(40) == 0) {
+                pauseFor(LEASE.toMillis() * (1 + random.nextInt(3)));
+            }
+            int mine = life;
+            Runnable out = () -> {
+                long way = 200_000 + random.nextInt(2_000_000);
+                if (held.contains(name + ">member") || random.nextInt(60) == 0) {
+                    way += LEASE.toNanos() * (1 + random.nextInt(2));
+                }
+                at(now + way, () -> {
+                    String outcome = receiver.effect(chore.duty(), epoch, turn, name);
+                    if (mine == life && !held.contains("member>" + name)) {
+                        task(now + 500_000, () -> ended.ended(outcome));
+                    } else if (mine == life) {
+                        task(now + 2_000_000_000L, () -> ended.ended("unknown"));
+                    }
+                });
+            };
+            // A pause that begins here stands between the check and the effect.
+            task(now, out);
+        }
+
+        void pauseFor(long ms) {
+            if (!paused && alive) {
+                paused = true;
+                faults++;
+                int mine = life;
+                at(now + ms * 1_000_000, () -> {
+                    if (mine == life && paused) {
+                        resume();
+                    }
+                });
+            }
+        }
+    }
+
+    /** A lease counted from when the answer came: wrong. */
+    private static final class FromAnswer extends Tenure {
+        FromAnswer(Lease lease, String session) {
+            super(lease, session);
+        }
+
+        @Override
+        protected Duration from(Duration askedAt, Duration heardAt) {
+            return heardAt;
+        }
+    }
+
+    /** What effects come to: a fence, and a ledger of what was accepted. */
+    final class Receiver {
+        private final Fence fence = new Fence();
+        private final Map<String, Long> highest = new HashMap<>();
+        private final Map<String, String> turns = new HashMap<>();
+        private final Map<Long, String> epochs = new HashMap<>();
+        int accepted;
+
+        String effect(String duty, long epoch, long turn, String who) {
+            fence.raise(duty, 0);
+            if (wrong != Wrong.NO_FENCE && !fence.admits(duty, epoch)) {
+                lateRefused++;
+                return "refused: epoch " + epoch + " is over";
+            }
+            accepted++;
+            if (epoch < highest.getOrDefault(duty, 0L)) {
+                breaks("late effect accepted: " + duty + " epoch " + epoch + " of " + who + " after "
+                    + highest.get(duty));
+            }
+            highest.merge(duty, epoch, Math::max);
+            String before = turns.put(duty + "#" + turn, who);
+            if (before != null) {
+                breaks("turn run twice: " + duty + " turn " + turn + " by " + before + " and " + who);
+            }
+            String owner = epochs.putIfAbsent(epoch, who + " " + duty);
+            if (owner != null && !owner.equals(who + " " + duty)) {
+                breaks("epoch " + epoch + " used by " + owner + " and " + who + " " + duty);
+            }
+            return "ran";
+        }
+    }
+
+    // ---- links ----
+
+    private Net.Wire open(Proc from, String address, Net.Owner owner) {
+        Pipe p = new Pipe(from, address, owner);
+        pipes.add(p);
+        return p.near;
+    }
+
+    /** One connection; each direction in order, held while it is cut. */
+    private final class Pipe {
+        final Proc from;
+        final String to;
+        final End near;
+        End far;
+        boolean open = true;
+
+        Pipe(Proc from, String to, Net.Owner owner) {
+            this.from = from;
+            this.to = to;
+            near = new End(from, owner, this);
+            near.send0(() -> {
+                Proc p = procs.get(to);
+                if (p == null || !p.alive || p.seat == null) {
+                    from.task(now + 300_000, () -> near.ends("refused"));
+                    return;
+                }
+                far = new End(p, p.seat.guest(), this);
+                p.task(now, () -> far.owner.up(far));
+                far.send0(() -> from.task(now, () -> {
+                    if (open) {
+                        owner.up(near);
+                    }
+                }));
+            });
+        }
+
+        void processEnds(Proc p) {
+            End other = near.proc == p ? far : far != null && far.proc == p ? near : null;
+            if (near.proc == p || far != null && far.proc == p) {
+                open = false;
+                pipes.remove(this);
+                if (other != null) {
+                    // The end of a process is told like all else, or not at all while it is cut.
+                    String way = p.name + ">" + other.proc.name;
+                    if (!held.contains(way)) {
+                        other.proc.task(now + 400_000, () -> other.ends("reset"));
+                    }
+                }
+            }
+        }
+    }
+
+    private final class End implements Net.Wire {
+        final Proc proc;
+        final Net.Owner owner;
+        final Pipe pipe;
+        final ArrayDeque<Runnable> queue = new ArrayDeque<>();
+        long free;
+        boolean closed;
+
+        End(Proc proc, Net.Owner owner, Pipe pipe) {
+            this.proc = proc;
+            this.owner = owner;
+            this.pipe = pipe;
+        }
+
+        private End other() {
+            return this == pipe.near ? pipe.far : pipe.near;
+        }
+
+        private String way() {
+            return proc.name + ">" + (this == pipe.near ? pipe.to : pipe.from.name);
+        }
+
+        void send0(Runnable arrives) {
+            if (held.contains(way()) || !queue.isEmpty()) {
+                queue.add(arrives);
+            } else {
+                go(arrives);
+            }
+        }
+
+        private void go(Runnable arrives) {
+            free = Math.max(free + 1, now + 200_000 + random.nextInt(1_500_000));
+            at(free, arrives);
+        }
+
+        void heal() {
+            while (!queue.isEmpty() && !held.contains(way())) {
+                go(queue.poll());
+            }
+        }
+
+        @Override
+        public void send(Map<String, Object> letter) {
+            byte[] text = Cbor.write(letter);
+            bytes += text.length + 4;
+            if (!closed && pipe.open) {
+                watch(letter, this == pipe.near ? pipe.to : pipe.from.name);
+                send0(() -> {
+                    End to = other();
+                    if (pipe.open && to != null && !to.closed) {
+                        to.proc.task(now, () -> {
+                            if (!to.closed) {
+                                to.owner.letter(to, Cbor.map(text));
+                            }
+                        });
+                    }
+                });
+            }
+        }
+
+        void ends(String how) {
+            if (!closed) {
+                closed = true;
+                pipe.open = false;
+                pipes.remove(pipe);
+                owner.ended(this, how);
+            }
+        }
+
+        @Override
+        public void close() {
+            if (!closed) {
+                closed = true;
+                pipe.open = false;
+                pipes.remove(pipe);
+                End o = other();
+                if (o != null) {
+                    o.proc.task(now + 400_000, () -> o.ends("closed"));
+                }
+            }
+        }
+    }
+
+    /** No endpoint may vote for two in one term. */
+    private void watch(Map<String, Object> letter, String to) {
+        if (Words.text(letter, "k").equals("raft")) {
+            Object m = Words.message(cast(letter.get("m")));
+            if (m instanceof VoteRequest r) {
+                vote((String) r.getSender().getId(), r.getTerm(), ((Words.Endpoint) r.getSender()).name());
+            } else if (m instanceof VoteResponse r && r.isGranted()) {
+                vote((String) r.getSender().getId(), r.getTerm(), to);
+                if (onVote != null) {
+                    onVote.accept(((Words.Endpoint) r.getSender()).name(), to);
+                }
+            }
+        }
+    }
+
+    private BiConsumer<String, String> onVote;
+
+    private void vote(String voter, int term, String whom) {
+        String before = votes.putIfAbsent(voter + " " + term, whom);
+        if (before != null && !before.equals(whom)) {
+            breaks("two votes of " + voter + " in term " + term + ": " + before + " and " + whom);
+        }
+    }
+
+    /**
+     * A voter votes, and its candidate is gone before anybody hears of the term; the voter starts again and is asked for the
+     * same term by the leader of before.
+     */
+    void voteAndStartAgain() {
+        procs.values().forEach(Proc::start);
+        play(8000);
+        Proc leader = procs.values().stream().filter(p -> p.seat != null && p.seat.leads()).findFirst().orElseThrow();
+        leader.kill();
+        onVote = (voter, candidate) -> {
+            onVote = null;
+            at(now, () -> {
+                procs.get(candidate).kill();
+                procs.get(voter).kill();
+                faults += 3;
+                at(now + 100_000_000, procs.get(voter)::start);
+                at(now + 100_000_000, leader::start);
+                at(now + 20_000_000_000L, procs.get(candidate)::start);
+            });
+        };
+        play(40_000);
+    }
+
+    @SuppressWarnings("unchecked")
+    private static Map<String, Object> cast(Object o) {
+        return (Map<String, Object>) o;
+    }
+
+    // ---- faults ----
+
+    void hold(String from, String to) {
+        held.add(from + ">" + to);
+    }
+
+    /** All directions are open again; of what was held, some connections break and the others deliver late. */
+    void heal() {
+        held.clear();
+        for (Pipe p : List.copyOf(pipes)) {
+            boolean waits = !p.near.queue.isEmpty() || p.far != null && !p.far.queue.isEmpty();
+            if (waits && random.nextBoolean() && p.far != null) {
+                Proc a = p.near.proc;
+                Proc b = p.far.proc;
+                a.task(now, () -> p.near.ends("reset"));
+                b.task(now, () -> p.far.ends("reset"));
+            } else {
+                p.near.heal();
+                if (p.far != null) {
+                    p.far.heal();
+                }
+            }
+        }
+    }
+
+    /** At any time at most one process may act under a duty, by its own clock. */
+    void checkLeases() {
+        for (FleetRules.Chore c : chores) {
+            String one = null;
+            for (Proc p : procs.values()) {
+                if (p.alive && p.attendant != null) {
+                    Tenure t = p.attendant.tenure();
+                    Tenure.Held h = t.known(c.duty());
+                    if (h != null && t.mayAct(c.duty(), h.epoch(), p.now())) {
+                        if (one != null) {
+                            breaks("two may act: " + c.duty() + ": " + one + " and " + p.name + " epoch " + h.epoch());
+                        }
+                        one = p.name + " epoch " + h.epoch();
+                    }
+                }
+            }
+        }
+    }
+
+    /** Who owns each duty by the word of a voter that takes part and is the furthest. */
+    Map<String, String> owners() {
+        Map<String, String> owners = new TreeMap<>();
+        Seat best = null;
+        for (Proc p : procs.values()) {
+            if (p.alive && p.seat != null && (best == null || p.seat.register().revision() > best.register().revision())) {
+                best = p.seat;
+            }
+        }
+        if (best != null) {
+            best.register().duties().forEach(d -> owners.put(d.name(), d.owner()));
+        }
+        return owners;
+    }
+
+    /** A short history: a start, faults for a while, an end without faults in which all must be well again. */
+    void history(int seconds) {
+        procs.values().forEach(p -> at(now + random.nextInt(500) * 1_000_000L, p::start));
+        play(8000);
+        for (int ms = 0; ms < seconds * 1000; ms += 250) {
+            if (random.nextInt(4) == 0) {
+                fault();
+            }
+            play(250);
+            checkLeases();
+        }
+        heal();
+        for (Proc p : procs.values()) {
+            p.rows.full = false;
+            if (!p.alive) {
+                p.start();
+            } else if (p.paused) {
+                p.resume();
+            } else if (p.seat != null && p.seat.phase() == Seat.Phase.BROKEN) {
+                p.kill();
+                p.start();
+            }
+        }
+        for (int ms = 0; ms < 40_000; ms += 250) {
+            play(250);
+            checkLeases();
+        }
+        owners().forEach((d, o) -> {
+            if (o.isEmpty()) {
+                breaks("no owner at the end: " + d);
+            }
+        });
+        if (owners().size() < chores.size()) {
+            breaks("only " + owners().size() + " duties known at the end");
+        }
+    }
+
+    private Proc any() {
+        return procs.get(name(random.nextInt(procs.size())));
+    }
+
+    private int lostNow() {
+        return (int) procs.values().stream().filter(p -> p.seat != null && !p.alive).count();
+    }
+
+    private void fault() {
+        faults++;
+        Proc p = any();
+        switch (random.nextInt(12)) {
+            case 0, 1 -> p.pauseFor(LEASE.toMillis() * (1 + random.nextInt(3)) / 2);
+            case 2, 3 -> {
+                p.kill();
+                int mine = p.life;
+                at(now + (200L + random.nextInt(6000)) * 1_000_000, () -> {
+                    if (!p.alive && p.life == mine) {
+                        p.start();
+                    }
+                });
+            }
+            case 4 -> {
+                for (Proc q : procs.values()) {
+                    hold(p.name, q.name);
+                    hold(q.name, p.name);
+                }
+            }
+            case 5 -> procs.values().forEach(q -> hold(p.name, q.name));
+            case 6 -> {
+                List<Proc> half = new ArrayList<>(procs.values());
+                java.util.Collections.shuffle(half, random);
+                List<Proc> one = half.subList(0, half.size() / 2);
+                List<Proc> other = half.subList(half.size() / 2, half.size());
+                one.forEach(a -> other.forEach(b -> {
+                    hold(a.name, b.name);
+                    hold(b.name, a.name);
+                }));
+            }
+            case 7 -> hold(p.name, "member");
+            case 8 -> hold("member", p.name);
+            case 9 -> {
+                // Voters lose their state one at a time, and only while the rest are there: more is more than it bears.
+                if (p.seat != null && lostNow() == 0 && p.alive && allIn()) {
+                    p.kill();
+                    p.loseState();
+                    at(now + 1_000_000_000L, () -> {
+                        if (!p.alive) {
+                            p.start();
+                        }
+                    });
+                }
+            }
+            default -> heal();
+        }
+    }
+
+    private boolean allIn() {
+        return voters.keySet().stream().allMatch(v -> procs.get(v).alive && procs.get(v).seat != null
+            && procs.get(v).seat.phase() == Seat.Phase.IN);
+    }
+}
--- /dev/null
+++ b/src/test/java/wingroad/fleet/SimFleetTest.java
@@ -0,0 +1,70 @@
+package wingroad.fleet;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import wingroad.fleet.SimFleet.Wrong;
+
+/** Short histories of a fleet in virtual time. */
+class SimFleetTest {
+    @Test
+    void aFleetWithoutFaultsGivesEachDutyOneOwner() {
+        SimFleet f = new SimFleet(1, 7, 3, 6, Wrong.NONE);
+        f.procs.values().forEach(SimFleet.Proc::start);
+        f.play(10_000);
+        assertThat(f.owners()).hasSize(6);
+        assertThat(f.owners().values()).doesNotContain("");
+        assertThat(f.broken).isEmpty();
+        assertThat(f.receiver.accepted).isGreaterThan(20);
+    }
+
+    @Test
+    void noShortHistoryBreaksARule() {
+        int seeds = Integer.getInteger("sim.seeds", 200);
+        int from = Integer.getInteger("sim.from", 0);
+        int late = 0;
+        for (int seed = from; seed < from + seeds; seed++) {
+            SimFleet f = history(seed, Wrong.NONE);
+            late += f.lateRefused;
+            if (!f.broken.isEmpty() && System.getProperty("sim.show") != null) {
+                System.out.println(String.join("\n", f.lines));
+            }
+            assertThat(f.broken).as("seed " + seed).isEmpty();
+        }
+        assertThat(late).as("late effects that came to the fence").isPositive();
+    }
+
+    @Test
+    void theCheckerFindsAReceiverWithoutAFence() {
+        assertThat(history(0, Wrong.NO_FENCE).broken).anyMatch(b -> b.contains("late effect accepted"));
+    }
+
+    @Test
+    void theCheckerFindsALeaseThatIsCountedFromTheAnswer() {
+        List<String> broken = new ArrayList<>();
+        for (int seed = 0; seed < 10 && broken.isEmpty(); seed++) {
+            broken.addAll(history(seed, Wrong.LEASE_FROM_ANSWER).broken);
+        }
+        assertThat(broken).anyMatch(b -> b.contains("two may act"));
+    }
+
+    @Test
+    void theCheckerFindsAVoterThatForgetsItsVote() {
+        assertThat(voteAndStartAgain(Wrong.VOTE_FORGOTTEN)).anyMatch(b -> b.contains("two votes"));
+        assertThat(voteAndStartAgain(Wrong.NONE)).isEmpty();
+    }
+
+    private static List<String> voteAndStartAgain(Wrong wrong) {
+        SimFleet f = new SimFleet(3, 5, 3, 2, wrong);
+        f.voteAndStartAgain();
+        return f.broken;
+    }
+
+    private static SimFleet history(int seed, Wrong wrong) {
+        SimFleet f = new SimFleet(seed, 7, seed % 2 == 0 ? 3 : 5, 5, wrong);
+        f.history(40);
+        return f;
+    }
+}
