The fleet on sockets: operator's node, chores as txns, status, history and hand-over

Need: the voter and the attendant had no sockets, disk or command line. Fleet runs them on a thread of its own with letters over TCP and state in SQLite; ChoreDesk hands a chore to the exchange as a once-only txn of a type of its own whose expiry is the lease's end. Off without the node; not measured yet.

--- a/src/main/java/wingroad/cli/Wingroad.java
+++ b/src/main/java/wingroad/cli/Wingroad.java
@@ -15,7 +15,8 @@
 /** The command line. What the benches start does not come by here: see Main. */
 @Command(name = "wingroad", versionProvider = Wingroad.Version.class, mixinStandardHelpOptions = true,
     description = "Stands before groups of database members and decides where every txn goes.",
-    subcommands = {Wingroad.Serve.class, Wingroad.Check.class, Wingroad.CheckConfig.class, Wingroad.Sim.class, Wingroad.Rehearse.class})
+    subcommands = {Wingroad.Serve.class, Wingroad.Check.class, Wingroad.CheckConfig.class, Wingroad.Sim.class, Wingroad.Rehearse.class,
+        FleetCommand.class})
 public final class Wingroad implements Callable<Integer> {
     private static final int UNUSABLE = 2;
 
--- a/src/main/java/wingroad/driver/Driver.java
+++ b/src/main/java/wingroad/driver/Driver.java
@@ -10,10 +10,13 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
 import java.util.Set;
 import java.util.concurrent.CountDownLatch;
 import sun.misc.Signal;
 import wingroad.door.FairDoor;
+import wingroad.fleet.Fleet;
+import wingroad.fleet.FleetRules;
 import wingroad.operator.OperatorFile;
 import wingroad.protocol.MemberList;
 import wingroad.routing.Router;
@@ -46,6 +49,8 @@
     private Path operatorPath;
     private OperatorFile operator;
     private FairDoor door;
+    /** The driver's part in the fleet, or null. */
+    private Fleet fleet;
     private final List<String> zones;
     private final List<String> kinds;
     /** The list comes only when the module asks for it. */
@@ -58,7 +63,7 @@
     private Duration stoppedAt;
     private Duration leavesBy;
 
-    private Driver(Map<String, String> env, Commission c, PrintStream out) throws IOException {
+    private Driver(Map<String, String> env, Commission c, PrintStream out, OperatorFile operator) throws IOException {
         this.env = env;
         commission = c;
         log = new Log(clock, out);
@@ -70,7 +75,8 @@
         // A quarter of the heap may be in flight, an eighth of all memory at most: a statement is copied on its way.
         loop = new Loop(c.descriptors() - Math.min(24, c.descriptors() / 4),
             Math.min(c.memory() / 8, Runtime.getRuntime().maxMemory() / 4), log::fault);
-        Router router = new TxnRouter(terms, c.seed(), log::line);
+        Router router = new TxnRouter(operator == null || operator.fleet() == null ? terms
+            : ChoreDesk.withType(terms), c.seed(), log::line);
         exchange = new Exchange(loop, clock, router, (Duration) terms.get("connect-time-out"), log::fault);
         clients = new Clients(loop, exchange, tally, c.names("grades"), terms,
             g -> groups.isEmpty() || groups.contains(g));
@@ -90,7 +96,7 @@
                           OperatorFile operator) {
         try {
             Commission c = Commission.read(env);
-            Driver driver = new Driver(env, c, out);
+            Driver driver = new Driver(env, c, out, operator);
             driver.operatorPath = operatorPath;
             driver.operator = operator;
             driver.start();
@@ -166,6 +172,22 @@
             throw failure[0];
         }
         loop.after(TALLY_EVERY, this::report);
+        joinFleet();
+    }
+
+    /** Begins only once clients are served; where it can't, they are served all the same. */
+    private void joinFleet() {
+        if (operator != null && operator.fleet() != null) {
+            FleetRules rules = operator.fleet().named(commission.name());
+            ChoreDesk desk = new ChoreDesk(loop, exchange, Terms.of(commission.settings()));
+            try {
+                Fleet begun = Fleet.begin(rules, log::line, log::fault, desk);
+                desk.answerOn(begun::run);
+                loop.run(() -> fleet = begun);
+            } catch (IOException e) {
+                log.line("fleet: can't begin: " + e.getMessage());
+            }
+        }
     }
 
     private void openDoor() {
@@ -216,7 +238,10 @@
             log.line("operator's file not taken, the old one stays: the door closes only with the next start");
             return;
         }
-        operator = read.file();
+        if (!Objects.equals(read.file().fleet(), operator.fleet())) {
+            log.line("operator's file: what is new of the fleet counts from the next start");
+        }
+        operator = new OperatorFile(read.file().door(), operator.fleet());
         if (door == null) {
             openDoor();
         } else {
@@ -264,6 +289,10 @@
                 leavesBy = stoppedAt.plus(serves).plus(STILL_COMING).minus(KILL_MARGIN);
                 exchange.endBy(leavesBy);
                 clients.idleMayStay();
+                if (fleet != null) {
+                    fleet.leave(() -> loop.run(() -> log.line("fleet: left after "
+                        + clock.now().minus(stoppedAt).toMillis() + " ms")));
+                }
                 loop.after(serves.plus(STILL_COMING.dividedBy(2)), clients::beginClosing);
                 leaveWhenDone();
             });
@@ -283,6 +312,9 @@
         boolean nothingLeft = exchange.openTxns() == 0 && (clients.idle() || clock.now().compareTo(leavesBy) > 0);
         if (clients.closing() && nothingLeft) {
             log.line("stops after " + clock.now().minus(stoppedAt).toMillis() + " ms");
+            if (fleet != null) {
+                fleet.close();
+            }
             done.countDown();
         } else {
             loop.after(STEP, this::leaveWhenDone);
--- a/src/main/java/wingroad/driver/Exchange.java
+++ b/src/main/java/wingroad/driver/Exchange.java
@@ -153,8 +153,17 @@
         return arrived(s, type, session, asker, null, null);
     }
 
+    /** A txn of the driver's own: by no door, since it is no client's. */
+    String ownArrived(Statement s, int type, Asker asker) {
+        return arrived(s, type, -1, asker, null, null, false);
+    }
+
     /** The same, with who asks and under which name, for the door. */
     String arrived(Statement s, int type, long session, Asker asker, Caller caller, String name) {
+        return arrived(s, type, session, asker, caller, name, door != null);
+    }
+
+    private String arrived(Statement s, int type, long session, Asker asker, Caller caller, String name, boolean byDoor) {
         Duration now = clock.now();
         String txn = "t" + txns++;
         Duration left = Duration.ofMillis(s.left());
@@ -164,7 +173,7 @@
         Open t = new Open(s, type, session, asker, now.plus(left));
         open.put(txn, t);
         try {
-            if (door == null) {
+            if (!byDoor) {
                 letIn(now, txn, t, Duration.ZERO);
             } else {
                 t.visit = door.arrived(now, txn, type, s.group(), left, caller, name, s.retry());
--- a/src/main/java/wingroad/fleet/Chores.java
+++ b/src/main/java/wingroad/fleet/Chores.java
@@ -13,21 +13,6 @@
  * statement goes out once, under the epoch, if the lease still runs then.
  */
 final class Chores implements Attendant.Doer {
-    /** What runs a chore's statement for the group's primary. */
-    interface Runner {
-        /**
-         * Runs it once if that may still be, and says how it ended, on the fleet's thread.
-         *
-         * @param until on the host's clock, when it may no more be begun
-         */
-        void run(Chore chore, long epoch, long turn, Duration until, Ended ended);
-    }
-
-    /** Hears how a statement ended, once. */
-    interface Ended {
-        void ended(String outcome);
-    }
-
     private static final class Course {
         final Chore chore;
         final Turns turns;
--- /dev/null
+++ b/src/main/java/wingroad/fleet/Fleet.java
@@ -0,0 +1,171 @@
+package wingroad.fleet;
+
+import java.io.IOException;
+import java.security.SecureRandom;
+import java.time.Duration;
+import java.util.function.Consumer;
+import java.util.function.Supplier;
+import wingroad.duty.Tenure;
+import wingroad.transport.Door;
+import wingroad.transport.Loop;
+
+/**
+ * A driver's part in the fleet, on a thread of its own: the voter's seat where it has one, its session, its duties. What goes
+ * wrong here is told and tried again; serving clients never waits for it.
+ */
+public final class Fleet {
+    private static final Duration AGAIN = Duration.ofSeconds(2);
+    private static final Duration LEAVE_WITHIN = Duration.ofMillis(1500);
+    private static final int MOST_CHANNELS = 1200;
+    private static final long MOST_HELD = 32L << 20;
+
+    private final FleetRules rules;
+    private final Consumer<String> log;
+    private final Runner runner;
+    private final Loop loop;
+    private final LoopNet net;
+    private final Here here = new Here();
+    private final SecureRandom random = new SecureRandom();
+    private final Supplier<String> names = () -> Long.toHexString(random.nextLong());
+    private StateFolder folder;
+    private Seat seat;
+    private Door door;
+    private Attendant attendant;
+    private boolean leaving;
+    private String failure = "";
+
+    /** The thread with its clocks. */
+    private final class Here implements Host {
+        @Override
+        public Duration now() {
+            return Duration.ofNanos(System.nanoTime());
+        }
+
+        @Override
+        public long wall() {
+            return System.currentTimeMillis();
+        }
+
+        @Override
+        public void run(Runnable task) {
+            loop.run(task);
+        }
+
+        @Override
+        public void after(Duration wait, Runnable task) {
+            loop.after(wait, task);
+        }
+
+        @Override
+        public void log(String line) {
+            log.accept(line);
+        }
+    }
+
+    private Fleet(FleetRules rules, Consumer<String> log, Consumer<Throwable> bug, Runner runner) throws IOException {
+        this.rules = rules;
+        this.log = log;
+        this.runner = runner;
+        loop = new Loop("fleet", MOST_CHANNELS, MOST_HELD, bug);
+        net = new LoopNet(loop);
+    }
+
+    /** Begins on a thread of its own; {@code runner} is called on that thread. */
+    public static Fleet begin(FleetRules rules, Consumer<String> log, Consumer<Throwable> bug, Runner runner)
+            throws IOException {
+        Fleet f = new Fleet(rules, log, bug, runner);
+        f.loop.run(f::enter);
+        return f;
+    }
+
+    /** Runs a task on the fleet's thread. */
+    public void run(Runnable task) {
+        loop.run(task);
+    }
+
+    private void enter() {
+        if (leaving) {
+            return;
+        }
+        try {
+            if (folder == null) {
+                folder = new StateFolder(rules.state(), names);
+            }
+            String identity = folder.identity();
+            if (rules.listen() != null) {
+                seat = new Seat(here, net, rules, folder.keep(), random.nextLong());
+                door = net.listen(LoopNet.address(rules.listen()), () -> seat.guest());
+                seat.start();
+                watch();
+            }
+            attendant = new Attendant(here, net, rules, identity, names, s -> new Tenure(rules.lease(), s));
+            attendant.start(new Chores(here, rules, attendant, runner));
+            log.accept("fleet: driver " + rules.driver() + " of fleet " + rules.name() + ", " + (rules.listen() == null
+                ? "no voter" : "listens at " + rules.listen()) + ", lease " + rules.lease().held().toMillis() + " ms, "
+                + rules.duties().size() + " duties");
+        } catch (IOException | RuntimeException e) {
+            if (!e.toString().equals(failure)) {
+                failure = e.toString();
+                log.accept("fleet: can't begin, tries again: " + e.getMessage());
+            }
+            if (seat != null) {
+                seat.stop();
+                seat = null;
+            }
+            loop.after(AGAIN, this::enter);
+        }
+    }
+
+    /** A voter whose state could not be written reads it again, once that works. */
+    private void watch() {
+        if (seat != null && seat.phase() == Seat.Phase.BROKEN && !leaving) {
+            try {
+                seat.resume(folder::keep);
+            } catch (IOException e) {
+                // Still not: it goes on being no voter.
+            }
+        }
+        loop.after(AGAIN, this::watch);
+    }
+
+    /** Gives all duties back and goes; {@code then} runs once that is settled, or after a while all the same. */
+    public void leave(Runnable then) {
+        loop.run(() -> {
+            if (leaving) {
+                return;
+            }
+            leaving = true;
+            boolean[] gone = new boolean[1];
+            Runnable once = () -> {
+                if (!gone[0]) {
+                    gone[0] = true;
+                    if (attendant != null) {
+                        attendant.stop();
+                    }
+                    then.run();
+                }
+            };
+            if (attendant == null) {
+                once.run();
+            } else {
+                attendant.leave(once);
+                loop.after(LEAVE_WITHIN, once);
+            }
+        });
+    }
+
+    /** Closes the voter's state; for the end of the process. */
+    public void close() {
+        loop.run(() -> {
+            if (door != null) {
+                door.close();
+            }
+            if (seat != null) {
+                seat.stop();
+            }
+            if (folder != null) {
+                folder.close();
+            }
+        });
+    }
+}
--- /dev/null
+++ b/src/main/java/wingroad/fleet/FleetClient.java
@@ -0,0 +1,77 @@
+package wingroad.fleet;
+
+import java.io.DataInputStream;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.util.Map;
+import wingroad.duty.Op;
+import wingroad.protocol.Json;
+
+/** A caller of the command line's: asks voters, one after the other, on a blocking socket of its own. */
+public final class FleetClient implements AutoCloseable {
+    private static final int CONNECT_MS = 1000;
+    private static final int ANSWER_MS = 2000;
+    private static final int LONGEST = 4 << 20;
+
+    private final Socket socket = new Socket();
+    private final DataInputStream in;
+
+    /** Connects to a voter and says hello; fails where it does not answer or refuses. */
+    public FleetClient(FleetRules rules, String voter) throws IOException {
+        InetSocketAddress at = LoopNet.address(rules.voters().get(voter));
+        try {
+            socket.connect(at, CONNECT_MS);
+            socket.setSoTimeout(ANSWER_MS);
+            in = new DataInputStream(socket.getInputStream());
+            send(Words.letter("hello", "fleet", rules.name(), "name", "guest", "role", "guest"));
+            await("here");
+        } catch (IOException | RuntimeException e) {
+            socket.close();
+            throw e;
+        }
+    }
+
+    private void send(Map<String, Object> letter) throws IOException {
+        byte[] text = Cbor.write(letter);
+        byte[] frame = java.nio.ByteBuffer.allocate(4 + text.length).putInt(text.length).put(text).array();
+        socket.getOutputStream().write(frame);
+    }
+
+    private Map<String, Object> await(String kind) throws IOException {
+        while (true) {
+            int length = in.readInt();
+            if (length < 0 || length > LONGEST) {
+                throw new IOException("a letter of " + length + " bytes");
+            }
+            try {
+                Map<String, Object> m = Cbor.map(in.readNBytes(length));
+                String k = Words.text(m, "k");
+                if (k.equals(kind)) {
+                    return m;
+                } else if (k.equals("refused")) {
+                    throw new IOException("refused: " + Words.text(m, "why"));
+                }
+            } catch (Json.Malformed e) {
+                throw new IOException("a broken letter: " + e.getMessage());
+            }
+        }
+    }
+
+    /** All that the voter knows. */
+    public Map<String, Object> status() throws IOException {
+        send(Words.letter("status"));
+        return Json.object(Json.need(await("status"), "status"), "the status");
+    }
+
+    /** Asks for a duty's hand-over; the answer once it is settled: empty, or why it is not done. Safe to repeat. */
+    public String handOver(String duty, String to, String ask) throws IOException {
+        send(Words.letter("ask", "op", Words.of(Op.handOver(duty, to, ask))));
+        return Words.text(await("answer"), "result");
+    }
+
+    @Override
+    public void close() throws IOException {
+        socket.close();
+    }
+}
--- a/src/main/java/wingroad/fleet/FleetRules.java
+++ b/src/main/java/wingroad/fleet/FleetRules.java
@@ -30,4 +30,9 @@
     public List<String> duties() {
         return chores.stream().map(Chore::duty).toList();
     }
+
+    /** The same for a driver of this name where the file gives it none. */
+    public FleetRules named(String name) {
+        return driver.isEmpty() ? new FleetRules(this.name, name, listen, voters, state, lease, chores) : this;
+    }
 }
--- a/src/main/java/wingroad/fleet/Keep.java
+++ b/src/main/java/wingroad/fleet/Keep.java
@@ -149,6 +149,10 @@
         begin();
     }
 
+    void tellAside(String what) {
+        wasAside = what;
+    }
+
     /** What was set aside and why, or null. */
     String wasAside() {
         return wasAside;
--- /dev/null
+++ b/src/main/java/wingroad/fleet/LoopNet.java
@@ -0,0 +1,135 @@
+package wingroad.fleet;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.ByteBuffer;
+import java.util.Map;
+import java.util.function.Supplier;
+import wingroad.protocol.Json;
+import wingroad.transport.Door;
+import wingroad.transport.Link;
+import wingroad.transport.Loop;
+
+/** Letters over TCP: each as its length in four bytes and its CBOR. */
+final class LoopNet implements Net {
+    private static final int LONGEST = 4 << 20;
+    private static final long MOST_UNSENT = 8L << 20;
+
+    private final Loop loop;
+
+    LoopNet(Loop loop) {
+        this.loop = loop;
+    }
+
+    static InetSocketAddress address(String text) {
+        int colon = text.lastIndexOf(':');
+        return new InetSocketAddress(text.substring(0, colon), Integer.parseInt(text.substring(colon + 1)));
+    }
+
+    @Override
+    public Wire open(String address, Owner owner) {
+        Line line = new Line(owner);
+        try {
+            line.link = Link.open(loop, address(address), line, LONGEST + 4);
+        } catch (IOException | RuntimeException e) {
+            loop.run(() -> line.ended(0, "cannot open: " + e.getMessage()));
+        }
+        return line;
+    }
+
+    /** Listens; each guest gets an owner of its own. */
+    Door listen(InetSocketAddress at, Supplier<Owner> owners) throws IOException {
+        Door door = new Door(loop, at, LONGEST + 4, () -> loop.channelsLeft() > 0, guest -> {
+            Owner owner = owners.get();
+            Line line = new Line(owner);
+            line.link = guest.apply(line);
+            owner.up(line);
+            line.link.begin();
+        });
+        door.again();
+        return door;
+    }
+
+    private static final class Line implements Wire, Link.Owner {
+        private final Owner owner;
+        private Link link;
+        private long handedOver;
+        private boolean over;
+
+        Line(Owner owner) {
+            this.owner = owner;
+        }
+
+        @Override
+        public void send(Map<String, Object> letter) {
+            if (over || link == null) {
+                return;
+            }
+            byte[] text = Cbor.write(letter);
+            handedOver += text.length + 4;
+            if (handedOver - link.wrote() > MOST_UNSENT) {
+                // Whoever does not read gets no more: what waits for it must not fill the memory.
+                end("does not read");
+                return;
+            }
+            link.send(ByteBuffer.allocate(4 + text.length).putInt(text.length).put(text).flip());
+        }
+
+        private void end(String how) {
+            if (!over) {
+                over = true;
+                if (link != null) {
+                    link.close();
+                }
+                owner.ended(this, how);
+            }
+        }
+
+        @Override
+        public void up() {
+            if (!over) {
+                owner.up(this);
+            }
+        }
+
+        @Override
+        public void bytes(ByteBuffer in) {
+            while (!over && in.remaining() >= 4) {
+                int length = in.getInt(in.position());
+                if (length < 0 || length > LONGEST) {
+                    end("a letter of " + length + " bytes");
+                    return;
+                }
+                if (in.remaining() < 4 + length) {
+                    return;
+                }
+                byte[] text = new byte[length];
+                in.getInt();
+                in.get(text);
+                try {
+                    owner.letter(this, Cbor.map(text));
+                } catch (Json.Malformed | ClassCastException e) {
+                    end("a broken letter: " + e.getMessage());
+                }
+            }
+        }
+
+        @Override
+        public void full() {
+            end("no memory for its letters");
+        }
+
+        @Override
+        public void ended(int unwritten, String how) {
+            end(how);
+        }
+
+        @Override
+        public void close() {
+            over = true;
+            if (link != null) {
+                link.close();
+            }
+        }
+    }
+}
--- a/src/main/java/wingroad/fleet/Seat.java
+++ b/src/main/java/wingroad/fleet/Seat.java
@@ -186,10 +186,15 @@
         phase = Phase.BROKEN;
     }
 
-    /** The same voter goes on with state that was read again. */
-    void resume(Keep again) {
+    /** Reads a voter's state. */
+    interface Reader {
+        Keep read() throws IOException;
+    }
+
+    /** The same voter goes on with state that is read again. */
+    void resume(Reader reader) throws IOException {
         keep.close();
-        keep = again;
+        keep = reader.read();
         phase = keep.group().isEmpty() ? Phase.FRESH : Phase.PROVING;
         say("has read its state again");
         proceed();
--- a/src/main/java/wingroad/operator/OperatorFile.java
+++ b/src/main/java/wingroad/operator/OperatorFile.java
@@ -18,14 +18,15 @@
 import wingroad.door.HouseRules.Place;
 import wingroad.door.HouseRules.Source;
 import wingroad.door.HouseRules.Tenant;
+import wingroad.fleet.FleetRules;
 import wingroad.kdl.KdlReader;
 import wingroad.kdl.KdlWriter;
 import wingroad.kdl.Node;
 import wingroad.kdl.Problem;
 import wingroad.kdl.Value;
 
-/** The operator's own file: what is switched on, and how. {@code door} is null where there is to be none. */
-public record OperatorFile(HouseRules door) {
+/** The operator's own file: what is switched on, and how. {@code door} and {@code fleet} are null where there is to be none. */
+public record OperatorFile(HouseRules door, FleetRules fleet) {
     /** A file without end must not fill the memory. */
     private static final int LONGEST = 1 << 20;
     private static final int MOST_TENANTS = 1024;
@@ -60,11 +61,16 @@
         }
         Section all = new Section(new Node("the file", List.of(), Map.of(), d.nodes()), problems);
         HouseRules door = null;
-        for (Section s : all.within(Set.of("door"), Set.of("door"))) {
-            door = door(s);
+        FleetRules fleet = null;
+        for (Section s : all.within(Set.of("door", "fleet"), Set.of("door", "fleet"))) {
+            if (s.name().equals("door")) {
+                door = door(s);
+            } else {
+                fleet = FleetSection.read(s);
+            }
         }
         Collections.sort(problems);
-        return problems.isEmpty() ? new Read(new OperatorFile(door), List.of()) : new Read(null, problems);
+        return problems.isEmpty() ? new Read(new OperatorFile(door, fleet), List.of()) : new Read(null, problems);
     }
 
     private static HouseRules door(Section door) {
@@ -137,9 +143,18 @@
 
     /** All settings that are in force, those left out as well, in the file's own form. */
     public String print() {
-        if (door == null) {
-            return "// the door is off\n";
+        String off = door == null ? "// the door is off\n" : "";
+        List<Node> all = new ArrayList<>();
+        if (door != null) {
+            all.add(doorNode());
+        }
+        if (fleet != null) {
+            all.add(FleetSection.whole(fleet));
         }
+        return off + (all.isEmpty() ? "" : KdlWriter.write(all));
+    }
+
+    private Node doorNode() {
         List<Node> within = new ArrayList<>();
         for (Source s : door.sources()) {
             List<Value> words = new ArrayList<>();
@@ -153,7 +168,7 @@
         within.add(node("most-waiting", List.of(value((long) door.mostWaiting())), Map.of()));
         within.add(node("others", List.of(), due(door.others())));
         door.tenants().forEach((name, t) -> within.add(node("tenant", List.of(value(name)), due(t))));
-        return KdlWriter.write(List.of(new Node("door", List.of(), Map.of(), within)));
+        return new Node("door", List.of(), Map.of(), within);
     }
 
     private static Map<String, Value> due(Tenant t) {
@@ -163,11 +178,11 @@
         return due;
     }
 
-    private static Value value(Object it) {
+    static Value value(Object it) {
         return new Value(it, null, 1, 1);
     }
 
-    private static Node node(String name, List<Value> arguments, Map<String, Value> properties) {
+    static Node node(String name, List<Value> arguments, Map<String, Value> properties) {
         return new Node(name, arguments, properties, List.of());
     }
 }
--- a/src/main/java/wingroad/operator/Section.java
+++ b/src/main/java/wingroad/operator/Section.java
@@ -81,6 +81,50 @@
         return absent;
     }
 
+    /** A property, a string that is not empty; {@code absent} where it is missing or wrong. */
+    String text(String name, String what, String absent) {
+        known.add(name);
+        Value v = node.properties().get(name);
+        if (v == null) {
+            return absent;
+        }
+        if (v.it() instanceof String s && !s.isEmpty()) {
+            return s;
+        }
+        problem(v, "found " + v.kind() + ", expected " + name + ", " + what);
+        return absent;
+    }
+
+    /** The one argument, #true or #false; {@code absent} where it is wrong. */
+    boolean flag(boolean absent) {
+        if (arguments >= node.arguments().size()) {
+            arguments++;
+            problem("'" + node.name() + "' needs #true or #false");
+            return absent;
+        }
+        Value v = node.arguments().get(arguments++);
+        if (v.it() instanceof Boolean b) {
+            return b;
+        }
+        problem(v, "found " + v.kind() + ", expected #true or #false");
+        return absent;
+    }
+
+    /** The one argument, a number within the range; {@code absent} where it is wrong. */
+    double part(String what, double least, double most, double absent) {
+        if (arguments >= node.arguments().size()) {
+            arguments++;
+            problem("'" + node.name() + "' needs " + what + ", from " + plain(least) + " to " + plain(most));
+            return absent;
+        }
+        Value v = node.arguments().get(arguments++);
+        if (v.it() instanceof Number n && n.doubleValue() >= least && n.doubleValue() <= most) {
+            return n.doubleValue();
+        }
+        problem(v, "found " + v.kind() + ", expected " + what + ", from " + plain(least) + " to " + plain(most));
+        return absent;
+    }
+
     private static String plain(double d) {
         return d == Math.rint(d) ? Long.toString((long) d) : Double.toString(d);
     }
--- a/src/main/java/wingroad/transport/Loop.java
+++ b/src/main/java/wingroad/transport/Loop.java
@@ -13,8 +13,7 @@
  * run on it, in the order in which they came. It also counts the descriptors that its channels hold.
  */
 public final class Loop {
-    private final ScheduledThreadPoolExecutor thread = new ScheduledThreadPoolExecutor(1,
-        r -> new Thread(r, "wingroad"));
+    private final ScheduledThreadPoolExecutor thread;
     private final Consumer<Throwable> onBug;
     private final int mostChannels;
     private int channels;
@@ -28,6 +27,12 @@
      * @param onBug        hears of what escapes a task
      */
     public Loop(int mostChannels, long mostHeld, Consumer<Throwable> onBug) throws IOException {
+        this("wingroad", mostChannels, mostHeld, onBug);
+    }
+
+    /** The same with the thread's name, for a part that has a thread of its own. */
+    public Loop(String name, int mostChannels, long mostHeld, Consumer<Throwable> onBug) throws IOException {
+        thread = new ScheduledThreadPoolExecutor(1, r -> new Thread(r, name));
         this.mostChannels = mostChannels;
         this.mostHeld = mostHeld;
         this.onBug = onBug;
--- a/src/test/java/wingroad/fleet/SimFleet.java
+++ b/src/test/java/wingroad/fleet/SimFleet.java
@@ -244,7 +244,7 @@
         }
 
         /** The clock is read, and then anything may happen before the effect is out. */
-        private void effect(FleetRules.Chore chore, long epoch, long turn, Duration until, Chores.Ended ended) {
+        private void effect(FleetRules.Chore chore, long epoch, long turn, Duration until, Runner.Ended ended) {
             if (now().compareTo(until) >= 0) {
                 ended.ended("not begun: no lease");
                 return;
