Leaders are missed after a third of a lease; voters that know an overdue lease say so; owner bench

The engine counts heartbeats in whole seconds: a leader was missed after 2 to 3 s, about a lease; and a leader that had started lately counted all leases anew. Now the engine's clock runs twelve seconds a lease, and any voter asks for the end of a lease that is overdue by a beat more.

--- /dev/null
+++ b/src/bench/java/wingroad/fleet/OwnerBench.java
@@ -0,0 +1,554 @@
+package wingroad.fleet;
+
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicLong;
+import wingroad.Given;
+import wingroad.Given.Client;
+import wingroad.operator.OperatorFile;
+import wingroad.protocol.Json;
+import wingroad.rig.FencedMember;
+import wingroad.rig.Relays;
+import wingroad.rig.Rig;
+
+/**
+ * Twenty and more real processes with faults: the same load and faults without a fleet and with one, where half of the chores go
+ * to a member without a fence (the baseline of a lease by time alone). The last line is one JSON object.
+ */
+public final class OwnerBench {
+    private static final int LEASE_MS = 3000;
+    private static final int DUTIES = 20;
+    private static final java.util.regex.Pattern CHORE = java.util.regex.Pattern.compile(
+        "id=chore-([^,]*)-([0-9]+)-[0-9]+,");
+    /** In each of these spans the voters are left alone for the last part, and owners are stopped as planned in it. */
+    private static final long SPAN_MS = 12_000;
+    private static final long ALONE_MS = 5_000;
+    private static final long STOPS_MS = 1_500;
+
+    private final int count;
+    private final int seconds;
+    private final Random random;
+    private final boolean withFleet;
+    private Rig rig;
+    private FencedMember fenced;
+    private FencedMember naive;
+    private final ScheduledExecutorService later = Executors.newScheduledThreadPool(4);
+    private final Map<String, AtomicInteger> counts = new ConcurrentHashMap<>();
+    private final Set<String> away = ConcurrentHashMap.newKeySet();
+    private final AtomicLong sent = new AtomicLong();
+    private final AtomicLong committed = new AtomicLong();
+    private final AtomicLong lost = new AtomicLong();
+    private final Map<String, AtomicInteger> generation = new ConcurrentHashMap<>();
+    private final List<Long> takeovers = new ArrayList<>();
+    private final List<Long> handovers = new ArrayList<>();
+    private final List<String> votesTwice = new ArrayList<>();
+    private final Map<String, String> votes = new HashMap<>();
+    private final AtomicInteger held = new AtomicInteger();
+    private long faultsFrom;
+    private volatile boolean over;
+    private volatile Map<String, Object> status = Map.of();
+
+    private OwnerBench(int count, int seconds, long seed, boolean withFleet) {
+        this.count = count;
+        this.seconds = seconds;
+        this.random = new Random(seed);
+        this.withFleet = withFleet;
+    }
+
+    /** {@code SECONDS [SEED [DRIVERS]]} */
+    public static void main(String[] args) throws Exception {
+        int seconds = args.length > 0 ? Integer.parseInt(args[0]) : 75;
+        long seed = args.length > 1 ? Long.parseLong(args[1]) : 1;
+        int count = args.length > 2 ? Integer.parseInt(args[2]) : 20;
+        System.out.println("seed " + seed + ", " + count + " drivers, " + seconds + " s each");
+        Map<String, Object> off = args.length > 3 ? Map.of("served", 1.0) : new OwnerBench(count, seconds, seed, false).run();
+        System.out.println("off " + off);
+        Map<String, Object> on = new OwnerBench(count, seconds, seed, true).run();
+        double ratio = (double) on.get("served") / (double) off.get("served");
+        on.put("served_off", off.get("served"));
+        on.put("served_ratio_during_faults", ratio);
+        StringBuilder json = new StringBuilder("{");
+        on.forEach((k, v) -> json.append(json.length() > 1 ? "," : "").append('"').append(k).append("\":").append(v));
+        System.out.println(json.append('}'));
+        System.exit(0);
+    }
+
+    private void count(String what) {
+        counts.computeIfAbsent(what, w -> new AtomicInteger()).incrementAndGet();
+    }
+
+    private int counted(String what) {
+        return counts.containsKey(what) ? counts.get(what).get() : 0;
+    }
+
+    private Map<String, Object> run() throws Exception {
+        Path dir = Files.createTempDirectory("owner");
+        StringBuilder rules = new StringBuilder("    lease-ms " + LEASE_MS + "\n    drift 0.01\n");
+        for (int i = 0; i < DUTIES; i++) {
+            String name = (i % 2 == 0 ? "c" : "n") + i;
+            rules.append("    chore \"").append(name).append("\" every=1 group=").append(i % 2 == 0 ? 7 : 8)
+                .append(" statement=\"SELECT fenced_").append(name).append("({epoch})\"\n");
+        }
+        rig = new Rig(dir, count, 5, withFleet ? rules.toString() : null, Given.SETTINGS);
+        fenced = rig.member("m1", 7, true, true);
+        naive = rig.member("m2", 8, true, false);
+        for (String a : rig.voters()) {
+            for (String b : rig.voters()) {
+                Map<Object, ByteBuffer> open = new HashMap<>();
+                rig.relays.between(a, b).tap((l, way, bytes, c) -> way == Relays.Way.FORTH && watchVotes(open, c, bytes, b));
+            }
+        }
+        long begun = System.nanoTime();
+        rig.startAll();
+        for (Rig.Driver d : rig.drivers.values()) {
+            generation.put(d.name, new AtomicInteger());
+            d.await(" serves ");
+        }
+        if (withFleet) {
+            for (Rig.Driver d : rig.drivers.values()) {
+                d.await("lease of");
+            }
+            new Thread(this::poll, "poll").start();
+            fenced.await(0, e -> true);
+        }
+        System.out.println("started after " + (System.nanoTime() - begun) / 1_000_000 + " ms");
+        List<Thread> load = new ArrayList<>();
+        for (Rig.Driver d : rig.drivers.values()) {
+            Thread t = new Thread(() -> clients(d), "load of " + d.name);
+            t.start();
+            load.add(t);
+        }
+        faultsFrom = System.nanoTime();
+        long end = System.nanoTime() + TimeUnit.SECONDS.toNanos(seconds);
+        while (System.nanoTime() < end) {
+            fault();
+            TimeUnit.MILLISECONDS.sleep(300 + random.nextInt(250));
+        }
+        // All wounds heal by themselves; what is left open is closed here.
+        for (int i = 0; i < 200 && !away.isEmpty(); i++) {
+            TimeUnit.MILLISECONDS.sleep(200);
+        }
+        Map<String, Object> result = new LinkedHashMap<>();
+        result.put("processes", count);
+        int without = withFleet ? unowned() : 0;
+        over = true;
+        for (Thread t : load) {
+            t.join();
+        }
+        result.put("faults", counts.values().stream().mapToInt(AtomicInteger::get).sum());
+        for (String kind : List.of("pauses", "cuts", "kills", "stops", "lost states", "slow links")) {
+            result.put(kind.replace(' ', '_'), counted(kind));
+        }
+        result.put("client_txns", sent.get());
+        result.put("client_txns_lost", lost.get());
+        result.put("served", sent.get() == 0 ? 0.0 : (double) committed.get() / sent.get());
+        if (withFleet) {
+            result.put("effects_held", held.get());
+            result.put("overlaps", fenced.ledger().stream().filter(e -> e.late() && e.accepted()).count());
+            result.put("late_effects_refused", fenced.ledger().stream().filter(e -> e.late() && !e.accepted()).count());
+            result.put("late_effects_accepted", fenced.ledger().stream().filter(e -> e.late() && e.accepted()).count());
+            result.put("naive_late_effects_accepted", naive.ledger().stream().filter(FencedMember.Entry::late).count());
+            result.put("chore_turns", fenced.entries() + naive.entries());
+            result.put("chore_turns_run_twice", fenced.twice() + naive.twice());
+            result.put("duties_without_owner_at_end", without);
+            result.put("takeovers", takeovers.size());
+            result.put("takeover_ms_p50", at(takeovers, 0.5));
+            result.put("takeover_ms_p99", at(takeovers, 0.99));
+            result.put("handovers", handovers.size());
+            result.put("handover_ms_p50", at(handovers, 0.5));
+            result.put("handover_ms_p99", at(handovers, 0.99));
+            result.put("state_lost_votes", votesTwice.size());
+            votesTwice.forEach(System.out::println);
+        }
+        later.shutdownNow();
+        rig.close();
+        return result;
+    }
+
+    private static long at(List<Long> of, double part) {
+        synchronized (of) {
+            if (of.isEmpty()) {
+                return -1;
+            }
+            List<Long> sorted = of.stream().sorted().toList();
+            return sorted.get((int) Math.min(sorted.size() - 1, Math.ceil(part * sorted.size()) - 1));
+        }
+    }
+
+    // ---- load ----
+
+    private void clients(Rig.Driver d) {
+        int n = 0;
+        Client c = null;
+        int made = -1;
+        while (!over) {
+            try {
+                TimeUnit.MILLISECONDS.sleep(60);
+                int gen = generation.get(d.name).get();
+                if (away.contains(d.name + " process")) {
+                    continue;
+                }
+                if (c == null || made != gen) {
+                    if (c != null) {
+                        c.close();
+                    }
+                    c = new Client(d.port());
+                    made = gen;
+                    c.startup().heard();
+                }
+                String id = d.name + "-" + gen + "-" + n++;
+                List<String> heard = c.ask(n % 5 == 0 ? Given.write(id) : Given.read(id)).heard();
+                if (generation.get(d.name).get() == gen) {
+                    sent.incrementAndGet();
+                    if (heard.contains("row value")) {
+                        committed.incrementAndGet();
+                    } else if (heard.contains("end")) {
+                        lost.incrementAndGet();
+                        c = null;
+                    }
+                }
+            } catch (IOException e) {
+                // Only what was broken off while its process was left alone counts as lost.
+                if (c != null && made == generation.get(d.name).get() && !away.contains(d.name + " process") && !over) {
+                    sent.incrementAndGet();
+                    lost.incrementAndGet();
+                    System.out.println("lost at " + d.name + ": " + e);
+                }
+                c = null;
+            } catch (InterruptedException e) {
+                return;
+            }
+        }
+    }
+
+    // ---- faults ----
+
+    private Rig.Driver any() {
+        List<Rig.Driver> all = rig.drivers.values().stream().filter(this::free).toList();
+        return all.isEmpty() ? null : all.get(random.nextInt(all.size()));
+    }
+
+    private long inSpan() {
+        return (System.nanoTime() - faultsFrom) / 1_000_000 % SPAN_MS;
+    }
+
+    private boolean free(Rig.Driver d) {
+        if (rig.voters().contains(d.name) && inSpan() > SPAN_MS - ALONE_MS - LEASE_MS) {
+            return false;
+        }
+        return away.stream().noneMatch(a -> a.startsWith(d.name + " "))
+            && (!rig.voters().contains(d.name) || votersAway() < 2);
+    }
+
+    private long votersAway() {
+        return rig.voters().stream().filter(v -> away.stream().anyMatch(a -> a.startsWith(v + " "))).count();
+    }
+
+    private interface Step {
+        void run() throws Exception;
+    }
+
+    private void in(long ms, Step what) {
+        later.schedule(() -> {
+            try {
+                what.run();
+            } catch (Exception e) {
+                System.out.println("rig: " + e);
+            }
+        }, ms, TimeUnit.MILLISECONDS);
+    }
+
+    private void processAway(Rig.Driver d) {
+        away.add(d.name + " process");
+        generation.get(d.name).incrementAndGet();
+    }
+
+    private void processBack(Rig.Driver d) {
+        away.remove(d.name + " process");
+    }
+
+    private void fault() throws Exception {
+        fault(any());
+    }
+
+    private void fault(Rig.Driver drawn) throws Exception {
+        Rig.Driver d = drawn;
+        int kind = random.nextInt(20);
+        if (inSpan() > SPAN_MS - STOPS_MS && votersAway() == 0) {
+            List<Rig.Driver> owners = duties().values().stream().map(o -> rig.driver(Words.text(o, "owner")))
+                .filter(o -> o != null && free(o)).toList();
+            d = owners.isEmpty() ? d : owners.get(random.nextInt(owners.size()));
+            kind = 18;
+        }
+        int length = LEASE_MS * (1 + random.nextInt(2)) + random.nextInt(500);
+        if (d == null) {
+            return;
+        }
+        fault(d, kind, length);
+    }
+
+    private void fault(Rig.Driver d, int kind, int length) throws Exception {
+        if (kind < 6) {
+            count("pauses");
+            if (withFleet) {
+                List<Rig.Driver> owners = duties().values().stream().map(o -> rig.driver(Words.text(o, "owner")))
+                    .filter(o -> o != null && free(o)).toList();
+                pauseInEffect(owners.isEmpty() ? d : owners.get(random.nextInt(owners.size())), length);
+            } else {
+                pause(d, length);
+            }
+        } else if (kind < 7) {
+            count("pauses");
+            pause(d, random.nextInt(4) == 0 ? 10 * LEASE_MS : length);
+        } else if (kind < 13) {
+            count("kills");
+            processAway(d);
+            owned(d, takeovers);
+            d.kill();
+            boolean lose = rig.voters().contains(d.name) && votersAway() == 1 && random.nextInt(3) == 0;
+            if (lose) {
+                count("lost states");
+                d.loseState();
+            }
+            in(500 + random.nextInt(5000), () -> again(d));
+        } else if (kind < 17) {
+            count("cuts");
+            away.add(d.name + " links");
+            int how = random.nextInt(4);
+            if (how < 2) {
+                rig.cutFromCouncil(d.name, true);
+                in(length, () -> rig.cutFromCouncil(d.name, false));
+            } else {
+                rig.cutOneWay(d.name, how == 2, true);
+                in(length, () -> rig.cutOneWay(d.name, how == 2, false));
+            }
+            in(length + 100, () -> away.remove(d.name + " links"));
+        } else if (kind == 18) {
+            count("stops");
+            processAway(d);
+            owned(d, handovers);
+            d.terminate();
+            in(0, () -> {
+                d.awaitEnd();
+                again(d);
+            });
+        } else {
+            count("slow links");
+            away.add(d.name + " links");
+            rig.relays.all().stream().filter(l -> l.from.equals(d.name)).forEach(l -> rig.relays.slow(l, 30));
+            in(length, () -> {
+                rig.relays.all().stream().filter(l -> l.from.equals(d.name)).forEach(l -> rig.relays.slow(l, 0));
+                away.remove(d.name + " links");
+            });
+        }
+    }
+
+    private void again(Rig.Driver d) throws Exception {
+        d.start();
+        d.await(" serves ");
+        processBack(d);
+    }
+
+    private void pause(Rig.Driver d, long ms) throws IOException {
+        processAway(d);
+        d.pause();
+        in(ms, () -> {
+            d.goOn();
+            in(300, () -> processBack(d));
+        });
+    }
+
+    /**
+     * Holds the owner's next statement on its way and stops the owner; both are let go once a successor's effect has come, or
+     * after some leases.
+     */
+    private void pauseInEffect(Rig.Driver d, long ms) {
+        away.add(d.name + " links");
+        AtomicInteger once = new AtomicInteger();
+        FencedMember member = random.nextInt(4) > 0 ? fenced : naive;
+        rig.relays.between(d.name, member.uid).tap((link, way, bytes, connection) -> {
+            java.util.regex.Matcher m = way == Relays.Way.FORTH && once.get() == 0 ? CHORE.matcher(
+                java.nio.charset.StandardCharsets.ISO_8859_1.decode(bytes)) : null;
+            if (m == null || !m.find()) {
+                return false;
+            }
+            once.set(1);
+            held.incrementAndGet();
+            processAway(d);
+            in(0, d::pause);
+            String chore = m.group(1);
+            long epoch = Long.parseLong(m.group(2));
+            in(ms, () -> letGo(d, member, connection, chore, epoch, 60));
+            return true;
+        });
+        in(ms, () -> {
+            // One that owns nothing sends nothing: then it is stopped as it is.
+            if (once.compareAndSet(0, 2)) {
+                pause(d, ms);
+            }
+            away.remove(d.name + " links");
+        });
+    }
+
+    private void letGo(Rig.Driver d, FencedMember member, Object connection, String chore, long epoch, int tries)
+            throws IOException {
+        boolean acted = member.ledger().stream().anyMatch(e -> e.chore().equals(chore) && e.epoch() > epoch);
+        if (!acted && tries > 0) {
+            in(200, () -> letGo(d, member, connection, chore, epoch, tries - 1));
+            return;
+        }
+        rig.relays.letGo(connection);
+        d.goOn();
+        in(300, () -> processBack(d));
+    }
+
+    // ---- the council, by status ----
+
+    private FleetRules rules() throws IOException {
+        return OperatorFile.read(rig.driver("d1").operator()).file().fleet();
+    }
+
+    private void poll() {
+        while (!over) {
+            Map<String, Object> best = null;
+            for (String v : rig.voters()) {
+                if (away.stream().anyMatch(a -> a.startsWith(v + " "))) {
+                    continue;
+                }
+                try (FleetClient c = new FleetClient(rules(), v)) {
+                    Map<String, Object> s = c.status();
+                    best = best == null || Words.number(s, "revision") > Words.number(best, "revision") ? s : best;
+                } catch (IOException | RuntimeException e) {
+                    // the next one knows
+                }
+                if (best != null) {
+                    break;
+                }
+            }
+            if (best != null && Words.number(best, "revision") >= Words.number(status, "revision")) {
+                status = best;
+            }
+            try {
+                TimeUnit.MILLISECONDS.sleep(100);
+            } catch (InterruptedException e) {
+                return;
+            }
+        }
+    }
+
+    private Map<String, Map<String, Object>> duties() {
+        Map<String, Map<String, Object>> all = new TreeMap<>();
+        if (status.get("duties") instanceof List<?> l) {
+            l.forEach(o -> {
+                Map<String, Object> d = Json.object(o, "a duty");
+                all.put(Words.text(d, "name"), d);
+            });
+        }
+        return all;
+    }
+
+    /** Measures how long it takes from now until this driver's duties are another session's. */
+    private void owned(Rig.Driver d, List<Long> times) {
+        long now = System.currentTimeMillis();
+        duties().forEach((name, duty) -> {
+            if (Words.text(duty, "owner").equals(d.name)) {
+                measure(name, Words.number(duty, "epoch"), now, times);
+            }
+        });
+    }
+
+    private void measure(String name, long epoch, long from, List<Long> times) {
+        in(50, () -> {
+            Map<String, Object> duty = duties().get(name);
+            if (duty != null && Words.number(duty, "epoch") > epoch) {
+                // By the history: the first grant behind the old one, even where it has moved on since.
+                for (Object line : (List<?>) duty.get("history")) {
+                    String[] w = line.toString().split(" ");
+                    if (line.toString().contains(" has it, epoch ") && Long.parseLong(w[w.length - 1]) > epoch) {
+                        // Given away before the fault: not this fault's.
+                        if (Long.parseLong(w[0]) >= from) {
+                            synchronized (times) {
+                                times.add(Long.parseLong(w[0]) - from);
+                            }
+                            if (Long.parseLong(w[0]) - from > 1.5 * LEASE_MS) {
+                                List<?> h = (List<?>) duty.get("history");
+                                System.out.println("slow takeover of " + name + ": " + (Long.parseLong(w[0]) - from) + " ms from "
+                                    + from + "; " + h.subList(Math.max(0, h.size() - 4), h.size()) + changes(from));
+                            }
+                        }
+                        return;
+                    }
+                }
+            } else if (!over) {
+                measure(name, epoch, from, times);
+            }
+        });
+    }
+
+    /** What voters said of their council since then. */
+    private List<String> changes(long from) {
+        List<String> all = new ArrayList<>();
+        for (String v : rig.voters()) {
+            rig.driver(v).log().stream().filter(l -> l.contains("fleet:") && !l.contains("turn")).filter(l ->
+                java.time.Instant.parse(l.substring(0, 24)).toEpochMilli() > from - 4000)
+                .forEach(l -> all.add("\n    " + v + " " + l));
+        }
+        return all;
+    }
+
+    private int unowned() throws InterruptedException {
+        int without = DUTIES;
+        for (int i = 0; i < 150 && without > 0; i++) {
+            TimeUnit.MILLISECONDS.sleep(200);
+            without = DUTIES - (int) duties().values().stream().filter(d -> rig.drivers.containsKey(Words.text(d, "owner")))
+                .count();
+        }
+        return without;
+    }
+
+    /** Letters between voters that grant a vote: no voter may grant two in one term. */
+    private boolean watchVotes(Map<Object, ByteBuffer> open, Object connection, ByteBuffer bytes, String to) {
+        ByteBuffer old = open.get(connection);
+        ByteBuffer all = ByteBuffer.allocate((old == null ? 0 : old.remaining()) + bytes.remaining());
+        if (old != null) {
+            all.put(old);
+        }
+        all.put(bytes).flip();
+        while (all.remaining() >= 4 && all.remaining() >= 4 + all.getInt(all.position())) {
+            byte[] text = new byte[all.getInt()];
+            all.get(text);
+            Map<String, Object> m = Cbor.map(text);
+            if (Words.text(m, "k").equals("raft")) {
+                Map<String, Object> r = Json.object(m.get("m"), "a message");
+                String kind = Words.text(r, "k");
+                boolean votes = kind.equals("voted") && Boolean.TRUE.equals(r.get("yes"));
+                if (votes || kind.equals("vote")) {
+                    String whom = votes ? to : Words.Endpoint.of(Words.text(r, "s")).name();
+                    synchronized (this.votes) {
+                        String before = this.votes.putIfAbsent(Words.text(r, "s") + " " + r.get("t"), whom);
+                        if (before != null && !before.equals(whom)) {
+                            votesTwice.add(Words.text(r, "s") + " votes in term " + r.get("t") + " for " + before + " and " + whom);
+                        }
+                    }
+                }
+            }
+        }
+        open.put(connection, all);
+        return false;
+    }
+}
--- a/src/main/java/wingroad/fleet/Chores.java
+++ b/src/main/java/wingroad/fleet/Chores.java
@@ -13,6 +13,9 @@
  * statement goes out once, under the epoch, if the lease still runs then.
  */
 final class Chores implements Attendant.Doer {
+    /** A turn that is due is looked at again no sooner. */
+    private static final Duration AFTER = Duration.ofMillis(20);
+
     private static final class Course {
         final Chore chore;
         final Turns turns;
@@ -21,6 +24,8 @@
         long askedEpoch;
         long begun;
         boolean running;
+        /** A look is under way for when the next turn is due. */
+        boolean waits;
 
         Course(Chore chore) {
             this.chore = chore;
@@ -76,6 +81,14 @@
             attendant.withdraw("turn " + h.duty());
             begin(c, h, tenure);
         }
+        if (!c.waits) {
+            // Else the next turn would wait for a beat.
+            c.waits = true;
+            host.after(c.turns.left(now).plus(AFTER), () -> {
+                c.waits = false;
+                look();
+            });
+        }
         long due = c.turns.due(now);
         if (due > 0 && !c.running && due != c.asked) {
             c.asked = due;
--- a/src/main/java/wingroad/fleet/Seat.java
+++ b/src/main/java/wingroad/fleet/Seat.java
@@ -42,10 +42,14 @@
  * I/O; all calls on one thread.
  */
 final class Seat {
-    /** Whole seconds are the engine's; the lease is at least twice as long as an election takes by these. */
-    private static final RaftConfig ENGINE = RaftConfig.newBuilder().setLeaderElectionTimeoutMillis(400)
-        .setLeaderHeartbeatPeriodSecs(1).setLeaderHeartbeatTimeoutSecs(2).setCommitCountToTakeSnapshot(2000)
-        .setMaxPendingLogEntryCount(2000).setRaftNodeReportPublishPeriodSecs(3600).build();
+    /**
+     * In the engine's time, which knows whole seconds alone: one of them is the {@link #ENGINE_SECONDS}th part of a lease, so
+     * that a leader is missed after a third of a lease and another one leads well before all leases have run out.
+     */
+    private static final RaftConfig ENGINE = RaftConfig.newBuilder().setLeaderElectionTimeoutMillis(1000)
+        .setLeaderHeartbeatPeriodSecs(1).setLeaderHeartbeatTimeoutSecs(4).setCommitCountToTakeSnapshot(2000)
+        .setMaxPendingLogEntryCount(2000).setRaftNodeReportPublishPeriodSecs(36_000).build();
+    private static final int ENGINE_SECONDS = 12;
     private static final Duration LOOK = Duration.ofMillis(250);
     private static final Duration PING = Duration.ofMillis(500);
     private static final Duration SILENT = Duration.ofMillis(2500);
@@ -84,6 +88,7 @@
     private boolean changing;
     private boolean stopped;
     private String said = "";
+    private String led = "";
 
     Seat(Host host, Net net, FleetRules rules, Keep keep, long seed) {
         this.host = host;
@@ -160,6 +165,7 @@
         if (phase == Phase.IN && keep.broken() != null) {
             breaks();
         }
+        tellLeader();
         if (phase == Phase.IN && leads()) {
             admit();
         }
@@ -167,6 +173,17 @@
         host.after(LOOK, this::look);
     }
 
+    private void tellLeader() {
+        RaftEndpoint leader = node == null ? null : node.getTerm().getLeaderEndpoint();
+        String now = leader == null ? "" : ((Endpoint) leader).name();
+        if (!now.equals(led)) {
+            led = now;
+            host.log("fleet: " + (now.isEmpty() ? "no leader is known" : now + " leads") + (node == null ? ""
+                : ", term " + node.getTerm().getTerm()) + ", entries " + register.revision() + ", sessions "
+                + register.sessions().size());
+        }
+    }
+
     private void proceed() {
         try {
             if (phase == Phase.FRESH) {
@@ -363,8 +380,13 @@
                     submit(Op.beat(beats).at(host.wall()));
                 }
                 overdue.ends(host.now()).stream().limit(MOST_ENDS).forEach(op -> submit(op.at(host.wall())));
-            } else if (!beats.isEmpty()) {
-                toLeader(Words.letter("beats", "beats", new TreeMap<>(beats)));
+            } else {
+                if (!beats.isEmpty()) {
+                    toLeader(Words.letter("beats", "beats", new TreeMap<>(beats)));
+                }
+                // A leader that has started lately counts anew; one that has been here all along knows earlier.
+                overdue.ends(host.now().minus(rules.lease().beat())).stream().limit(MOST_ENDS)
+                    .forEach(op -> submit(op.at(host.wall())));
             }
         }
         // What did not get through comes again with the drivers' next beats.
@@ -461,7 +483,7 @@
 
         @Override
         public void schedule(Runnable task, long wait, TimeUnit unit) {
-            host.after(Duration.ofNanos(unit.toNanos(wait)), ours(task));
+            host.after(Duration.ofNanos((long) (unit.toNanos(wait) * engineSecond())), ours(task));
         }
     }
 
@@ -481,7 +503,12 @@
         }
     }
 
-    /** The host's monotone clock; the engine only ever takes differences. */
+    /** How long one of the engine's seconds is, in seconds. */
+    private double engineSecond() {
+        return rules.lease().held().toNanos() / 1e9 / ENGINE_SECONDS;
+    }
+
+    /** The host's monotone clock in the engine's time; the engine only ever takes differences. */
     private final class EngineClock extends Clock {
         @Override
         public ZoneId getZone() {
@@ -495,7 +522,7 @@
 
         @Override
         public Instant instant() {
-            return Instant.EPOCH.plus(host.now());
+            return Instant.EPOCH.plusNanos((long) (host.now().toNanos() / engineSecond()));
         }
     }
 
--- a/src/test/java/wingroad/fleet/SimFleetTest.java
+++ b/src/test/java/wingroad/fleet/SimFleetTest.java
@@ -50,12 +50,17 @@
 
     @Test
     void theCheckerFindsAVoterThatForgetsItsVote() {
-        assertThat(voteAndStartAgain(Wrong.VOTE_FORGOTTEN)).anyMatch(b -> b.contains("two votes"));
-        assertThat(voteAndStartAgain(Wrong.NONE)).isEmpty();
+        // Who asks first after the restart is drawn: not in each of them is it the same term again.
+        List<String> broken = new ArrayList<>();
+        for (int seed = 0; seed < 10; seed++) {
+            broken.addAll(voteAndStartAgain(seed, Wrong.VOTE_FORGOTTEN));
+            assertThat(voteAndStartAgain(seed, Wrong.NONE)).isEmpty();
+        }
+        assertThat(broken).anyMatch(b -> b.contains("two votes"));
     }
 
-    private static List<String> voteAndStartAgain(Wrong wrong) {
-        SimFleet f = new SimFleet(3, 5, 3, 2, wrong);
+    private static List<String> voteAndStartAgain(int seed, Wrong wrong) {
+        SimFleet f = new SimFleet(seed, 5, 3, 2, wrong);
         f.voteAndStartAgain();
         return f.broken;
     }
