One driver asks discovery for all: handed on under its epoch, with a way back for everybody

Need: the list's duty of the fleet. The owner follows discovery and hands each revision on through the voters under its epoch; the others go by it while it is heard within three beats and not behind what a slow call of their own finds (Hearsay), and else follow discovery themselves. Off without a 'list' node; without a fleet Discovery is as it was but for two methods nobody calls.

--- a/bench/owner.sh
+++ b/bench/owner.sh
@@ -1,6 +1,6 @@
 #!/bin/sh
 # One owner at a time: twenty real processes with faults between them, without a fleet and with one; then short histories in
-# virtual time. SECONDS of faults for each part (80), SEED (1), DRIVERS (20), HISTORIES (2000). The last line is one JSON
+# virtual time. SECONDS of faults for each part (100), SEED (1), DRIVERS (20), HISTORIES (2000). The last line is one JSON
 # object; docs/operators/fleet.md says what its figures are.
 set -eu
 cd "$(dirname "$0")/.."
@@ -14,4 +14,4 @@
 run="java -Xmx2g -cp target/test-classes:target/classes:$(cat target/bench.classpath)"
 $run wingroad.fleet.OwnerSim wrong 20
 $run wingroad.fleet.OwnerSim 0 "${4:-2000}"
-exec $run wingroad.fleet.OwnerBench "${1:-80}" "${2:-1}" "${3:-20}"
+exec $run wingroad.fleet.OwnerBench "${1:-100}" "${2:-1}" "${3:-20}"
--- a/src/bench/java/wingroad/fleet/OwnerBench.java
+++ b/src/bench/java/wingroad/fleet/OwnerBench.java
@@ -72,7 +72,7 @@
 
     /** {@code SECONDS [SEED [DRIVERS]]} */
     public static void main(String[] args) throws Exception {
-        int seconds = args.length > 0 ? Integer.parseInt(args[0]) : 75;
+        int seconds = args.length > 0 ? Integer.parseInt(args[0]) : 100;
         long seed = args.length > 1 ? Long.parseLong(args[1]) : 1;
         int count = args.length > 2 ? Integer.parseInt(args[2]) : 20;
         System.out.println("seed " + seed + ", " + count + " drivers, " + seconds + " s each");
@@ -290,8 +290,7 @@
         Rig.Driver d = drawn;
         int kind = random.nextInt(20);
         if (inSpan() > SPAN_MS - STOPS_MS && votersAway() == 0) {
-            List<Rig.Driver> owners = duties().values().stream().map(o -> rig.driver(Words.text(o, "owner")))
-                .filter(o -> o != null && free(o)).toList();
+            List<Rig.Driver> owners = owners();
             d = owners.isEmpty() ? d : owners.get(random.nextInt(owners.size()));
             kind = 18;
         }
@@ -299,15 +298,23 @@
         if (d == null) {
             return;
         }
+        if (withFleet && kind >= 7 && kind < 13 && random.nextBoolean()) {
+            List<Rig.Driver> owners = owners();
+            d = owners.isEmpty() ? d : owners.get(random.nextInt(owners.size()));
+        }
         fault(d, kind, length);
     }
 
+    /** Those that own something and are left alone now. */
+    private List<Rig.Driver> owners() {
+        return duties().values().stream().map(o -> rig.driver(Words.text(o, "owner"))).filter(o -> o != null && free(o)).toList();
+    }
+
     private void fault(Rig.Driver d, int kind, int length) throws Exception {
         if (kind < 6) {
             count("pauses");
             if (withFleet) {
-                List<Rig.Driver> owners = duties().values().stream().map(o -> rig.driver(Words.text(o, "owner")))
-                    .filter(o -> o != null && free(o)).toList();
+                List<Rig.Driver> owners = owners();
                 pauseInEffect(owners.isEmpty() ? d : owners.get(random.nextInt(owners.size())), length);
             } else {
                 pause(d, length);
@@ -326,7 +333,7 @@
                 d.loseState();
             }
             in(500 + random.nextInt(5000), () -> again(d));
-        } else if (kind < 17) {
+        } else if (kind < 18) {
             count("cuts");
             away.add(d.name + " links");
             int how = random.nextInt(4);
--- a/src/main/java/wingroad/driver/Discovery.java
+++ b/src/main/java/wingroad/driver/Discovery.java
@@ -48,6 +48,18 @@
         }
     }
 
+    /** A watch that stands is given up; what is held stays held. */
+    void followNoMore() {
+        if (watch != null) {
+            watch.end();
+        }
+    }
+
+    /** This version has been learnt elsewhere: a watch goes on from there. */
+    void holds(long newer) {
+        version = Math.max(version, newer);
+    }
+
     @Override
     public void fetch() {
         if (fetch == null) {
--- a/src/main/java/wingroad/driver/Driver.java
+++ b/src/main/java/wingroad/driver/Driver.java
@@ -51,6 +51,8 @@
     private FairDoor door;
     /** The driver's part in the fleet, or null. */
     private Fleet fleet;
+    /** Where one driver asks discovery for all, or null. */
+    private ListDesk listDesk;
     private final List<String> zones;
     private final List<String> kinds;
     /** The list comes only when the module asks for it. */
@@ -81,7 +83,7 @@
         clients = new Clients(loop, exchange, tally, c.names("grades"), terms,
             g -> groups.isEmpty() || groups.contains(g));
         members = new Members(loop, clock, tally, terms, exchange);
-        discovery = new Discovery(loop, c.discovery(), c.known().version(), tally, this::learn,
+        discovery = new Discovery(loop, c.discovery(), c.known().version(), tally, this::found,
             () -> exchange.router().listFailed(clock.now()));
         exchange.meet(members, discovery, clients::closeOneIdle);
     }
@@ -179,11 +181,21 @@
     private void joinFleet() {
         if (operator != null && operator.fleet() != null) {
             FleetRules rules = operator.fleet().named(commission.name());
+            ListDesk lists = rules.listCheck() == null || asked ? null
+                : new ListDesk(loop, clock, discovery, rules, commission.known().version(),
+                    this::learn, log::line);
             ChoreDesk desk = new ChoreDesk(loop, exchange, Terms.of(commission.settings()));
             try {
-                Fleet begun = Fleet.begin(rules, log::line, log::fault, desk);
+                Fleet begun = Fleet.begin(rules, log::line, log::fault, desk, lists == null ? (epoch, m) -> { }
+                    : lists::letter);
                 desk.answerOn(begun::run);
-                loop.run(() -> fleet = begun);
+                loop.run(() -> {
+                    fleet = begun;
+                    listDesk = lists;
+                    if (lists != null) {
+                        lists.begin(begun);
+                    }
+                });
             } catch (IOException e) {
                 log.line("fleet: can't begin: " + e.getMessage());
             }
@@ -200,6 +212,13 @@
         }
     }
 
+    private void found(MemberList list) {
+        learn(list);
+        if (listDesk != null) {
+            listDesk.found(list);
+        }
+    }
+
     private void learn(MemberList list) {
         Duration now = clock.now();
         Router router = exchange.router();
--- a/src/main/java/wingroad/fleet/Attendant.java
+++ b/src/main/java/wingroad/fleet/Attendant.java
@@ -8,6 +8,7 @@
 import java.util.Map;
 import java.util.function.Function;
 import java.util.function.Supplier;
+import wingroad.duty.Fence;
 import wingroad.duty.Op;
 import wingroad.duty.Tenure;
 import wingroad.fleet.Net.Wire;
@@ -35,6 +36,8 @@
     private final String identity;
     private final Supplier<String> runs;
     private final Function<String, Tenure> tenures;
+    private final Fleet.News news;
+    private final Fence fence = new Fence();
     private final List<String> order = new ArrayList<>();
     private final Map<String, Op> asks = new LinkedHashMap<>();
     private Doer doer;
@@ -56,15 +59,17 @@
      * @param identity of the state folder
      * @param runs     gives a new session's part behind the driver's name
      * @param tenures  makes the driver's side of a session
+     * @param news     hears what owners hand on, past the fence
      */
     Attendant(Host host, Net net, FleetRules rules, String identity, Supplier<String> runs,
-              Function<String, Tenure> tenures) {
+              Function<String, Tenure> tenures, Fleet.News news) {
         this.host = host;
         this.net = net;
         this.rules = rules;
         this.identity = identity;
         this.runs = runs;
         this.tenures = tenures;
+        this.news = news;
         order.addAll(rules.voters().keySet());
         // Its own seat first; else spread over the voters by name.
         order.sort(Comparator.<String>comparingInt(v -> v.equals(rules.driver()) ? 0 : 1)
@@ -107,6 +112,14 @@
         shut();
     }
 
+    /** Hands something on, if the duty is this driver's at this time. */
+    void publish(String duty, Map<String, Object> what) {
+        Tenure.Held h = tenure.known(duty);
+        if (up && h != null && tenure.mayAct(duty, h.epoch(), host.now())) {
+            wire.send(Words.letter("publish", "duty", duty, "epoch", h.epoch(), "what", what));
+        }
+    }
+
     private void send(Op op) {
         if (up) {
             wire.send(Words.letter("ask", "op", Words.of(op)));
@@ -196,6 +209,12 @@
                 next();
                 openAt = host.now().plus(REFUSED_AGAIN);
             }
+            case "news" -> {
+                long epoch = Words.number(m, "epoch");
+                if (fence.admits(Words.text(m, "duty"), epoch)) {
+                    news.heard(epoch, Json.object(m.get("what"), "news"));
+                }
+            }
             case "not-opened" -> refused(Words.text(m, "why"));
             default -> {
                 // of no concern here
@@ -220,6 +239,7 @@
         revision = rev;
         for (Object o : Json.list(m, "duties")) {
             List<?> d = (List<?>) o;
+            fence.raise((String) d.get(0), ((Number) d.get(2)).longValue());
             tenure.told(new Tenure.Held((String) d.get(0), (String) d.get(1), ((Number) d.get(2)).longValue(),
                 ((Number) d.get(3)).longValue(), (String) d.get(4), (String) d.get(5)));
         }
--- a/src/main/java/wingroad/fleet/Fleet.java
+++ b/src/main/java/wingroad/fleet/Fleet.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.security.SecureRandom;
 import java.time.Duration;
+import java.util.Map;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
 import wingroad.duty.Tenure;
@@ -22,6 +23,7 @@
     private final FleetRules rules;
     private final Consumer<String> log;
     private final Runner runner;
+    private final News news;
     private final Loop loop;
     private final LoopNet net;
     private final Here here = new Here();
@@ -62,22 +64,38 @@
         }
     }
 
-    private Fleet(FleetRules rules, Consumer<String> log, Consumer<Throwable> bug, Runner runner) throws IOException {
+    private Fleet(FleetRules rules, Consumer<String> log, Consumer<Throwable> bug, Runner runner, News news)
+            throws IOException {
         this.rules = rules;
         this.log = log;
         this.runner = runner;
+        this.news = news;
         loop = new Loop("fleet", MOST_CHANNELS, MOST_HELD, bug);
         net = new LoopNet(loop);
     }
 
-    /** Begins on a thread of its own; {@code runner} is called on that thread. */
-    public static Fleet begin(FleetRules rules, Consumer<String> log, Consumer<Throwable> bug, Runner runner)
+    /** Begins on a thread of its own; {@code runner} and {@code news} are called on that thread. */
+    public static Fleet begin(FleetRules rules, Consumer<String> log, Consumer<Throwable> bug, Runner runner, News news)
             throws IOException {
-        Fleet f = new Fleet(rules, log, bug, runner);
+        Fleet f = new Fleet(rules, log, bug, runner, news);
         f.loop.run(f::enter);
         return f;
     }
 
+    /** Hears what the owner of the list hands on, past the fence. */
+    public interface News {
+        void heard(long epoch, Map<String, Object> what);
+    }
+
+    /** Hands something on to all drivers, if this one owns the duty now. */
+    public void publish(String duty, Map<String, Object> what) {
+        loop.run(() -> {
+            if (attendant != null) {
+                attendant.publish(duty, what);
+            }
+        });
+    }
+
     /** Runs a task on the fleet's thread. */
     public void run(Runnable task) {
         loop.run(task);
@@ -98,7 +116,8 @@
                 seat.start();
                 watch();
             }
-            attendant = new Attendant(here, net, rules, identity, names, s -> new Tenure(rules.lease(), s));
+            attendant = new Attendant(here, net, rules, identity, names, s -> new Tenure(rules.lease(), s),
+                news);
             attendant.start(new Chores(here, rules, attendant, runner));
             log.accept("fleet: driver " + rules.driver() + " of fleet " + rules.name() + ", " + (rules.listen() == null
                 ? "no voter" : "listens at " + door.at().getHostString() + ":" + door.at().getPort()) + ", lease " + rules.lease().held().toMillis() + " ms, "
--- a/src/main/java/wingroad/fleet/FleetRules.java
+++ b/src/main/java/wingroad/fleet/FleetRules.java
@@ -2,6 +2,7 @@
 
 import java.nio.file.Path;
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import wingroad.duty.Lease;
@@ -15,9 +16,13 @@
  * @param voters  those that found the council, by name, each with the address at which this driver reaches it
  * @param state   the folder for what must outlive the process
  * @param chores  statements that one driver runs for all
+ * @param listCheck how often a driver asks discovery that goes by the list's owner, or null: each asks for itself
  */
 public record FleetRules(String name, String driver, String listen, Map<String, String> voters, Path state, Lease lease,
-                         List<Chore> chores) {
+                         List<Chore> chores, Duration listCheck) {
+    /** The duty of asking discovery for all. */
+    public static final String LIST = "list";
+
     /** A statement for the primary of a group, once in each span. */
     public record Chore(String name, Duration every, int group, String statement) {
         /** The duty that stands for it. */
@@ -28,11 +33,15 @@
 
     /** The duties that this driver would do. */
     public List<String> duties() {
-        return chores.stream().map(Chore::duty).toList();
+        List<String> all = new ArrayList<>(chores.stream().map(Chore::duty).toList());
+        if (listCheck != null) {
+            all.add(LIST);
+        }
+        return all;
     }
 
     /** The same for a driver of this name where the file gives it none. */
     public FleetRules named(String name) {
-        return driver.isEmpty() ? new FleetRules(this.name, name, listen, voters, state, lease, chores) : this;
+        return driver.isEmpty() ? new FleetRules(this.name, name, listen, voters, state, lease, chores, listCheck) : this;
     }
 }
--- a/src/main/java/wingroad/fleet/Seat.java
+++ b/src/main/java/wingroad/fleet/Seat.java
@@ -731,6 +731,7 @@
                         submit(op);
                     }
                 }
+                case "news" -> spread(m);
                 case "beats" -> Words.beats(m.get("beats")).forEach((s, n) -> beats.merge(s, n, Math::max));
                 case "found" -> {
                     List<String> members = Words.texts(m.get("members"));
@@ -751,6 +752,11 @@
             }
         }
 
+        /** To all drivers that are attached here, but for the one that it came from. */
+        private void spread(Map<String, Object> letter) {
+            guests.stream().filter(g -> g != this && !g.session.isEmpty()).toList().forEach(g -> g.wire.send(letter));
+        }
+
         /** What a voter sends proves how far its own state has come. */
         private void saw(RaftMessage message) {
             String sender = (String) message.getSender().getId();
@@ -785,6 +791,14 @@
                         refuse("not this session's");
                     }
                 }
+                case "publish" -> {
+                    Register.Duty d = register.duty(Words.text(m, "duty"));
+                    if (d != null && d.owner().equals(session) && d.epoch() == Words.number(m, "epoch")) {
+                        Map<String, Object> on = Words.letter("news", "duty", d.name(), "epoch", d.epoch(), "what", m.get("what"));
+                        peers.values().forEach(p -> p.send(on));
+                        spread(on);
+                    }
+                }
                 case "again" -> {
                     // The same connection goes on under another session.
                     session = name + "/" + Words.text(m, "run");
--- a/src/main/java/wingroad/operator/FleetSection.java
+++ b/src/main/java/wingroad/operator/FleetSection.java
@@ -25,6 +25,7 @@
     private static final int SHORTEST_LEASE_MS = 3000;
     private static final int USUAL_LEASE_MS = 5000;
     private static final double USUAL_DRIFT = 0.01;
+    private static final int USUAL_CHECK_S = 60;
     private static final int MOST_CHORES = 256;
     private static final int LONGEST_STATEMENT = 4096;
 
@@ -42,9 +43,10 @@
         boolean trusted = false;
         Map<String, String> voters = new LinkedHashMap<>();
         List<Chore> chores = new ArrayList<>();
-        Set<String> once = Set.of("driver", "listen", "state", "lease-ms", "drift", "trusted-network");
+        Duration listCheck = null;
+        Set<String> once = Set.of("driver", "listen", "state", "lease-ms", "drift", "trusted-network", "list");
         for (Section s : fleet.within(Set.of("driver", "listen", "voter", "state", "lease-ms", "drift", "trusted-network",
-            "chore"), once)) {
+            "chore", "list"), once)) {
             switch (s.name()) {
                 case "driver" -> driver = named(s, "this driver's name");
                 case "listen" -> listen = address(s, "the address to listen at");
@@ -59,6 +61,7 @@
                         s.problem("the voter '" + voter + "' is listed already");
                     }
                 }
+                case "list" -> listCheck = Duration.ofMillis(Math.round(s.number("check", 1, 600, USUAL_CHECK_S) * 1000));
                 default -> chore(s, chores);
             }
             s.end(false);
@@ -79,7 +82,7 @@
             fleet.problem("an address that is not loopback needs trusted-network #true: drivers' messages are not signed");
         }
         return new FleetRules(name, driver, listen, voters, Path.of(state == null ? "." : state),
-            new Lease(Duration.ofMillis(lease), drift), List.copyOf(chores));
+            new Lease(Duration.ofMillis(lease), drift), List.copyOf(chores), listCheck);
     }
 
     private static String named(Section s, String what) {
@@ -141,6 +144,9 @@
         within.add(node("state", List.of(value(f.state().toString())), Map.of()));
         within.add(node("lease-ms", List.of(value(f.lease().held().toMillis())), Map.of()));
         within.add(node("drift", List.of(value(f.lease().drift())), Map.of()));
+        if (f.listCheck() != null) {
+            within.add(node("list", List.of(), Map.of("check", value(f.listCheck().toMillis() / 1000.0))));
+        }
         for (Chore c : f.chores()) {
             Map<String, Value> p = new LinkedHashMap<>();
             p.put("every", value(c.every().toMillis() / 1000.0));
--- a/src/test/java/wingroad/Given.java
+++ b/src/test/java/wingroad/Given.java
@@ -303,7 +303,7 @@
                     s.getOutputStream().write(wrong.getBytes(StandardCharsets.UTF_8));
                     s.close();
                 } else if (line.startsWith("GET ")) {
-                    int since = Integer.parseInt(line.replaceAll(".*since=([0-9]+).*", "$1"));
+                    int since = line.contains("since=") ? Integer.parseInt(line.replaceAll(".*since=([0-9]+).*", "$1")) : -1;
                     asked.add(since);
                     byte[] body = newer(since).getBytes(StandardCharsets.UTF_8);
                     s.getOutputStream().write(("HTTP/1.1 200 OK\r\nContent-Length: " + body.length + "\r\n\r\n")
--- a/src/test/java/wingroad/fleet/FleetIT.java
+++ b/src/test/java/wingroad/fleet/FleetIT.java
@@ -217,12 +217,57 @@
         nothingWrong();
     }
 
+    @Test
+    void oneDriverAsksDiscoveryAndTheOthersGoByItUntilItIsGone() throws Exception {
+        rig = new Rig(dir, 4, 3, RULES + "    list check=600\n", Given.SETTINGS);
+        member = rig.member("m1", 7, true, true);
+        FencedMember replica = rig.member("m2", 7, false, true);
+        rig.startAll();
+        String fit = rig.entry("d1", member, "ready");
+        rig.discovery.tell(fit + "," + rig.entry("d1", replica, "ready"));
+        List<Rig.Driver> by = awaitFollowers(3);
+        Rig.Driver owner = rig.drivers.values().stream().filter(d -> !by.contains(d)).findFirst().orElseThrow();
+        int asked = rig.discovery.asked.size();
+        rig.discovery.tell(fit + "," + rig.entry("d1", replica, "draining"));
+        for (Rig.Driver d : rig.drivers.values()) {
+            d.await(0, l -> l.contains("list 2 "));
+        }
+        // The owner's next watch, and perhaps one that was being given up.
+        assertThat(rig.discovery.asked.size() - asked).isLessThan(4);
+        Map<Rig.Driver, Integer> from = new java.util.HashMap<>();
+        by.forEach(d -> from.put(d, d.lines()));
+        owner.kill();
+        for (Rig.Driver d : by) {
+            d.await(from.get(d), l -> l.contains("list: asks discovery itself"));
+        }
+        rig.discovery.tell(fit);
+        for (Rig.Driver d : by) {
+            d.await(0, l -> l.contains("list 3 "));
+        }
+        assertThat(awaitFollowers(2)).doesNotContain(owner);
+        nothingWrong();
+    }
+
+    /** Waits until so many drivers that live go by the owner of the list. */
+    private List<Rig.Driver> awaitFollowers(int count) throws InterruptedException {
+        for (int i = 0; i < 400; i++) {
+            List<Rig.Driver> by = rig.drivers.values().stream().filter(Rig.Driver::alive).filter(d -> d.log().stream()
+                .filter(l -> l.contains("list: ")).reduce((a, b) -> b).filter(l -> l.contains("goes by the owner")).isPresent())
+                .toList();
+            if (by.size() == count) {
+                return by;
+            }
+            TimeUnit.MILLISECONDS.sleep(50);
+        }
+        throw new AssertionError("never " + count + " that go by the owner");
+    }
+
     @Test
     void anotherFleetIsRefused() throws Exception {
         start(1, 1);
         first("a");
         FleetRules own = rules();
-        FleetRules other = new FleetRules("another", own.driver(), null, own.voters(), own.state(), own.lease(), List.of());
+        FleetRules other = new FleetRules("another", own.driver(), null, own.voters(), own.state(), own.lease(), List.of(), null);
         assertThatThrownBy(() -> new FleetClient(other, "d1")).isInstanceOf(IOException.class)
             .hasMessageContaining("this is fleet 'rig'");
         nothingWrong();
--- /dev/null
+++ b/src/test/java/wingroad/fleet/KeepTest.java
@@ -0,0 +1,89 @@
+package wingroad.fleet;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+
+import java.io.IOException;
+import java.nio.file.Path;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import wingroad.duty.Op;
+import wingroad.fleet.Words.Endpoint;
+
+/** A voter's state: what it survives, and when it is not trusted. */
+class KeepTest {
+    private static Keep with(Rows rows, int term, long entries) throws IOException {
+        Keep k = new Keep(rows, () -> "i1");
+        k.found("g", List.of("a/i1"), 0);
+        k.persistAndFlushLocalEndpoint(Words.MODELS.createRaftEndpointPersistentStateBuilder()
+            .setLocalEndpoint(Endpoint.of("a/i1")).setVoting(true).build());
+        k.persistAndFlushInitialGroupMembers(Words.MODELS.createRaftGroupMembersViewBuilder().setLogIndex(0)
+            .setMembers(Words.endpoints(List.of("a/i1"))).setVotingMembers(Words.endpoints(List.of("a/i1"))).build());
+        k.persistAndFlushTerm(Words.MODELS.createRaftTermPersistentStateBuilder().setTerm(term).build());
+        for (long i = 1; i <= entries; i++) {
+            k.persistLogEntries(List.of(Words.MODELS.createLogEntryBuilder().setIndex(i).setTerm(term)
+                .setOperation(Op.turn("a/1", "x", 5, i)).build()));
+        }
+        k.flush();
+        return k;
+    }
+
+    @Test
+    void whatWasFlushedIsThereAfterAKillAndWhatWasNotIsNot() throws IOException {
+        MemoryRows rows = new MemoryRows();
+        Keep k = with(rows, 3, 4);
+        k.persistLogEntries(List.of(Words.MODELS.createLogEntryBuilder().setIndex(5).setTerm(3).setOperation(Op.term())
+            .build()));
+        Keep again = new Keep(rows.afterKill(), () -> "i2");
+        assertThat(again.identity()).isEqualTo("i1");
+        assertThat(again.restored().getLogEntries()).hasSize(4);
+        assertThat(again.restored().getLogEntries().get(3).getOperation()).isEqualTo(Op.turn("a/1", "x", 5, 4));
+        assertThat(again.restored().getTermPersistentState().getTerm()).isEqualTo(3);
+    }
+
+    @Test
+    void aStateIsOlderWhereATermOrAnEntryOfItIsMissing() throws IOException {
+        MemoryRows rows = new MemoryRows();
+        with(rows, 3, 4);
+        Keep k = new Keep(rows.afterKill(), () -> "i2");
+        assertThat(k.olderThan(new Keep.Seen(3, 3, 4))).isFalse();
+        assertThat(k.olderThan(new Keep.Seen(4, 3, 4))).as("a later term").isTrue();
+        assertThat(k.olderThan(new Keep.Seen(3, 3, 5))).as("a later entry").isTrue();
+        assertThat(k.olderThan(new Keep.Seen(3, 2, 9))).as("entries that a later leader cut").isFalse();
+    }
+
+    @Test
+    void aRowThatWasChangedIsNotTaken() throws IOException {
+        MemoryRows rows = new MemoryRows();
+        with(rows, 3, 4);
+        byte[] row = rows.all(Rows.Table.LOG).get(2L).clone();
+        row[row.length - 1] ^= 1;
+        rows.put(Rows.Table.LOG, 2, row);
+        rows.flush();
+        Keep k = new Keep(rows, () -> "i2");
+        assertThat(k.wasAside()).contains("checksum");
+        assertThat(k.identity()).isEqualTo("i2");
+        assertThat(k.group()).isEmpty();
+    }
+
+    @Test
+    void nothingIsConfirmedAfterAWriteThatFailed() throws IOException {
+        MemoryRows rows = new MemoryRows();
+        Keep k = with(rows, 1, 1);
+        rows.full = true;
+        assertThatThrownBy(k::flush).isInstanceOf(IOException.class);
+        rows.full = false;
+        assertThatThrownBy(k::flush).isInstanceOf(IOException.class).hasMessageContaining("nothing is written after");
+    }
+
+    @Test
+    void aFileKeepsTheSame(@TempDir Path dir) throws IOException {
+        SqliteRows rows = new SqliteRows(dir.resolve("council.db"));
+        with(rows, 3, 4).close();
+        Keep again = new Keep(new SqliteRows(dir.resolve("council.db")), () -> "i2");
+        assertThat(again.identity()).isEqualTo("i1");
+        assertThat(again.restored().getLogEntries()).hasSize(4);
+        again.close();
+    }
+}
--- a/src/test/java/wingroad/fleet/SimFleet.java
+++ b/src/test/java/wingroad/fleet/SimFleet.java
@@ -133,7 +133,7 @@
             life++;
             Map<String, String> reach = new LinkedHashMap<>(voters);
             FleetRules rules = new FleetRules("f", name, voters.get(name), reach, Path.of("."), new Lease(LEASE, DRIFT),
-                chores);
+                chores, null);
             Net net = (address, owner) -> open(this, address, owner);
             seat = null;
             if (voters.containsKey(name)) {
@@ -142,7 +142,8 @@
             }
             Function<String, Tenure> tenures = wrong == Wrong.LEASE_FROM_ANSWER ? s -> new FromAnswer(rules.lease(), s)
                 : s -> new Tenure(rules.lease(), s);
-            attendant = new Attendant(this, net, rules, identity, () -> Long.toHexString(random.nextLong()), tenures);
+            attendant = new Attendant(this, net, rules, identity, () -> Long.toHexString(random.nextLong()), tenures,
+                (epoch, what) -> { });
             work = new Chores(this, rules, attendant, this::effect);
             attendant.start(work);
         }
--- a/src/test/java/wingroad/operator/OperatorFileTest.java
+++ b/src/test/java/wingroad/operator/OperatorFileTest.java
@@ -101,4 +101,38 @@
         Files.write(file, new byte[(1 << 20) + 1]);
         assertThat(OperatorFile.read(file).problems().get(0).text()).startsWith("longer than");
     }
+
+    @Test
+    void aFleetIsCheckedAndPrintedAsItStands() {
+        String file = """
+            fleet "graz" {
+                driver "d1"
+                listen "127.0.0.1:7401"
+                voter "d1" "127.0.0.1:7401"
+                state "/tmp/x"
+                chore "purge" every=60 group=7 statement="SELECT purge_records({epoch}, 500)"
+            }
+            """;
+        OperatorFile.Read read = OperatorFile.read(file);
+        assertThat(read.problems()).isEmpty();
+        assertThat(read.file().fleet().duties()).containsExactly("chore purge");
+        OperatorFile again = OperatorFile.read(read.file().print()).file();
+        assertThat(again.fleet()).isEqualTo(read.file().fleet());
+    }
+
+    @Test
+    void whatIsWrongWithAFleetIsTold() {
+        String file = """
+            fleet "graz" {
+                voter "d1" "10.0.0.1:7401"
+                voter "d2" "127.0.0.1:7402"
+                lease-ms 100
+                chore "purge" every=60 group=7 statement="SELECT purge_records(500)"
+                chore "purge" group=7 statement="SELECT f({epoch})"
+            }
+            """;
+        assertThat(OperatorFile.read(file).problems().stream().map(Object::toString).toList().toString()).contains(
+            "needs state", "expected 1, 3 or 5", "trusted-network", "lease lasts", "needs {epoch}", "listed already",
+            "needs every");
+    }
 }
--- a/src/test/java/wingroad/rig/Rig.java
+++ b/src/test/java/wingroad/rig/Rig.java
@@ -104,8 +104,7 @@
         public void start() throws IOException {
             StringBuilder known = new StringBuilder();
             for (FencedMember m : members.values()) {
-                known.append(known.length() == 0 ? "" : ",").append(Given.entry(m.uid, relays.between(name, m.uid).port(),
-                    "ready").replace("\"pod_group\":7", "\"pod_group\":" + m.group));
+                known.append(known.length() == 0 ? "" : ",").append(entry(name, m, "ready"));
             }
             Path config = Files.writeString(home.resolve("config.json"), "{\"name\":\"" + name
                 + "\",\"listen\":\"127.0.0.1:0\",\"discovery\":\"127.0.0.1:" + relays.between(name, "discovery").port()
@@ -253,6 +252,12 @@
         }
     }
 
+    /** A member's entry in discovery's list, by one driver's link: discovery tells all the same address. */
+    public String entry(String driver, FencedMember m, String state) throws IOException {
+        return Given.entry(m.uid, relays.between(driver, m.uid).port(), state).replace("\"pod_group\":7",
+            "\"pod_group\":" + m.group);
+    }
+
     public Driver driver(String name) {
         return drivers.get(name);
     }
