Voters are let in and taken out while the fleet runs, one at a time

Need: 'fleet voters add|remove' of the issue. The change is settled in the log, the leader carries it out with the engine's membership changes; a leader that is to go hands the lead on first. Seen in a trial: one that is taken out is never sent the entry that says so and waited without a leader (d3, 10 s and more); now another voter's word, settled later than its own members, tells it, and its state is set aside.

--- a/src/main/java/wingroad/cli/FleetCommand.java
+++ b/src/main/java/wingroad/cli/FleetCommand.java
@@ -25,7 +25,7 @@
 @Command(name = "fleet", mixinStandardHelpOptions = true,
     description = "Asks a running fleet: who is there, who owns which duty; hands duties over. See docs/operators/fleet.md.",
     subcommands = {FleetCommand.Status.class, FleetCommand.Watch.class, FleetCommand.History.class,
-        FleetCommand.HandOver.class})
+        FleetCommand.HandOver.class, FleetCommand.Voters.class})
 final class FleetCommand implements Callable<Integer> {
     private static final int UNUSABLE = 2;
     /** Nobody could say. */
@@ -192,6 +192,39 @@
         }
     }
 
+    @Command(name = "voters", mixinStandardHelpOptions = true,
+        description = "Changes who votes, one at a time; 'status' shows when it is settled. Exit status 1: refused.")
+    static final class Voters extends Asks {
+        /** What to do with one. */
+        enum Change {
+            add, remove
+        }
+
+        @Parameters(index = "0", paramLabel = "add|remove", description = "What to do.")
+        Change change;
+
+        @Parameters(index = "1", paramLabel = "DRIVER", description = "Its name in the fleet.")
+        String name;
+
+        @Parameters(index = "2", paramLabel = "ADDRESS", arity = "0..1", defaultValue = "",
+            description = "Where it listens; only with add.")
+        String address;
+
+        @Override
+        int ask(FleetRules rules) throws IOException {
+            if ((change == Change.add) == address.isEmpty()) {
+                System.err.println("wingroad: 'add' needs an address, 'remove' takes none");
+                return UNUSABLE;
+            }
+            String ask = UUID.randomUUID().toString();
+            String refusal = first(rules, c -> c.voter(name, address, ask));
+            System.out.println(json ? text(Map.of("settled", refusal.isEmpty(), "why", refusal))
+                : refusal.isEmpty() ? "settled: the leader " + (change == Change.add ? "lets it in" : "takes it out")
+                : "refused: " + refusal);
+            return refusal.isEmpty() ? 0 : REFUSED;
+        }
+    }
+
     // ---- pages ----
 
     private static long number(Map<String, Object> m, String name) {
--- a/src/main/java/wingroad/duty/Op.java
+++ b/src/main/java/wingroad/duty/Op.java
@@ -30,7 +30,9 @@
         /** An owner begins turn {@code number} of a duty. */
         TURN,
         /** How turn {@code number} ended, in {@code to}. */
-        TOLD
+        TOLD,
+        /** The driver {@code to} is to vote, at the address in {@code duty}; with none it is to vote no more. */
+        VOTER
     }
 
     private static final Op NOTHING = new Op(Kind.TERM, "", "", 0, 0, "", List.of(), Map.of(), "", 0);
@@ -71,6 +73,10 @@
         return new Op(Kind.TOLD, session, duty, epoch, turn, outcome, List.of(), Map.of(), "", 0);
     }
 
+    public static Op voter(String name, String address, String ask) {
+        return new Op(Kind.VOTER, "", address, 0, 0, name, List.of(), Map.of(), ask, 0);
+    }
+
     public Op at(long unixMs) {
         return new Op(kind, by, duty, epoch, number, to, duties, beats, ask, unixMs);
     }
--- a/src/main/java/wingroad/duty/Register.java
+++ b/src/main/java/wingroad/duty/Register.java
@@ -20,6 +20,7 @@
     private static final int MOST_SESSIONS = 1024;
     private static final int MOST_DUTIES = 1024;
     private static final int HISTORY = 32;
+    private static final int MOST_VOTERS = 64;
     private static final int MOST_ANSWERS = 256;
     /** A driver that let its leases run out k times waits two to the k rounds, at most two to this. */
     private static final int LONGEST_WAIT = 10;
@@ -129,6 +130,8 @@
 
     private final TreeMap<String, Session> sessions = new TreeMap<>();
     private final TreeMap<String, Duty> duties = new TreeMap<>();
+    /** What was changed of the voters that the files name: an address, or empty for one taken out. */
+    private final TreeMap<String, String> voters = new TreeMap<>();
     private final TreeMap<String, Losses> losses = new TreeMap<>();
     /** The results of the newest asks that have a name, oldest first. */
     private final ArrayDeque<String[]> answers = new ArrayDeque<>();
@@ -151,6 +154,11 @@
         return sessions.values();
     }
 
+    /** The changes of the voters since the founding: names with their addresses, empty for those taken out. */
+    public Map<String, String> voters() {
+        return voters;
+    }
+
     public Session session(String id) {
         return sessions.get(id);
     }
@@ -192,6 +200,7 @@
             case HAND_OVER -> handOver(op);
             case TURN -> turn(op);
             case TOLD -> told(op);
+            case VOTER -> voter(op);
         };
         if (!op.ask().isEmpty()) {
             answers.add(new String[] {op.ask(), result});
@@ -299,6 +308,14 @@
         return "";
     }
 
+    private String voter(Op op) {
+        if (voters.size() >= MOST_VOTERS && !voters.containsKey(op.to())) {
+            return "more than " + MOST_VOTERS + " changes of voters";
+        }
+        voters.put(op.to(), op.duty());
+        return "";
+    }
+
     private Duty held(Op op) {
         Duty d = duties.get(op.duty());
         return d != null && d.epoch == op.epoch() && d.owner.equals(op.by()) && !op.by().isEmpty() ? d : null;
@@ -442,6 +459,7 @@
         List<Object> lost = new ArrayList<>();
         losses.forEach((n, l) -> lost.add(List.of(n, (long) l.count, l.until, l.last)));
         all.put("losses", lost);
+        all.put("voters", new TreeMap<>(voters));
         all.put("answers", answers.stream().map(a -> List.of(a[0], a[1])).toList());
         return all;
     }
@@ -481,6 +499,8 @@
             lost.last = number(l.get(3));
             losses.put((String) l.get(0), lost);
         }
+        voters.clear();
+        ((Map<?, ?>) all.get("voters")).forEach((n, a) -> voters.put((String) n, (String) a));
         for (List<?> a : lists(all.get("answers"))) {
             answers.add(new String[] {(String) a.get(0), (String) a.get(1)});
         }
--- a/src/main/java/wingroad/fleet/Attendant.java
+++ b/src/main/java/wingroad/fleet/Attendant.java
@@ -38,6 +38,7 @@
     private final Function<String, Tenure> tenures;
     private final Fleet.News news;
     private final Fence fence = new Fence();
+    private final Map<String, String> addresses = new LinkedHashMap<>();
     private final List<String> order = new ArrayList<>();
     private final Map<String, Op> asks = new LinkedHashMap<>();
     private Doer doer;
@@ -70,7 +71,8 @@
         this.runs = runs;
         this.tenures = tenures;
         this.news = news;
-        order.addAll(rules.voters().keySet());
+        addresses.putAll(rules.voters());
+        order.addAll(addresses.keySet());
         // Its own seat first; else spread over the voters by name.
         order.sort(Comparator.<String>comparingInt(v -> v.equals(rules.driver()) ? 0 : 1)
             .thenComparing(v -> (v + '/' + rules.driver()).hashCode()));
@@ -133,7 +135,7 @@
         Duration now = host.now();
         if (wire == null && now.compareTo(openAt) >= 0) {
             heardAt = now;
-            wire = net.open(rules.voters().get(order.get(at)), this);
+            wire = net.open(addresses.get(order.get(at)), this);
         } else if (wire != null && now.minus(heardAt).compareTo(rules.lease().held().dividedBy(3)) > 0) {
             // Nothing is settled there: it may be cut off itself.
             next();
@@ -196,6 +198,23 @@
             "run", run()));
     }
 
+    /** The voters as they are now: those of the file, and what was changed since. */
+    private void voters(Object changes) {
+        if (changes instanceof Map<?, ?> m) {
+            String by = order.get(at);
+            m.forEach((name, address) -> {
+                if (address.equals("")) {
+                    if (!name.equals(by) && order.size() > 1) {
+                        order.remove(name);
+                    }
+                } else if (addresses.putIfAbsent((String) name, (String) address) == null || !order.contains(name)) {
+                    order.add((String) name);
+                }
+            });
+            at = order.indexOf(by);
+        }
+    }
+
     private String run() {
         return tenure.session().substring(tenure.session().indexOf('/') + 1);
     }
@@ -203,6 +222,7 @@
     @Override
     public void letter(Wire w, Map<String, Object> m) {
         switch (Words.text(m, "k")) {
+            case "here" -> voters(m.get("voters"));
             case "settled" -> settled(m);
             case "refused" -> {
                 refused(order.get(at) + ": " + Words.text(m, "why"));
--- a/src/main/java/wingroad/fleet/FleetClient.java
+++ b/src/main/java/wingroad/fleet/FleetClient.java
@@ -70,6 +70,12 @@
         return Words.text(await("answer"), "result");
     }
 
+    /** Asks for a voter to be let in at an address, or with none taken out; the answer as for a hand-over. */
+    public String voter(String name, String address, String ask) throws IOException {
+        send(Words.letter("ask", "op", Words.of(Op.voter(name, address, ask))));
+        return Words.text(await("answer"), "result");
+    }
+
     @Override
     public void close() throws IOException {
         socket.close();
--- a/src/main/java/wingroad/fleet/Keep.java
+++ b/src/main/java/wingroad/fleet/Keep.java
@@ -31,6 +31,7 @@
     private static final long INITIAL = 2;
     private static final long TERM = 3;
     private static final long WITNESS = 4;
+    private static final long VOTERS = 5;
     private static final int SUM = 4;
 
     /** The newest that another voter is known to have confirmed: its term, and an entry's index in a term. */
@@ -51,6 +52,7 @@
     private List<String> founders = List.of();
     private long epochs;
     private final Map<String, Seen> seen = new TreeMap<>();
+    private final Map<String, String> voters = new TreeMap<>();
     private RestoredRaftState restored;
     private IOException broken;
     private String wasAside;
@@ -85,6 +87,9 @@
                     ((Number) l.get(2)).longValue()));
             });
         }
+        if (meta.get(VOTERS) != null) {
+            map(meta.get(VOTERS)).forEach((n, a) -> voters.put(n, (String) a));
+        }
         if (meta.get(ENDPOINT) != null && meta.get(INITIAL) != null) {
             restored = restore(meta);
         }
@@ -129,6 +134,7 @@
         epochs = 0;
         restored = null;
         seen.clear();
+        voters.clear();
         saveSelf();
     }
 
@@ -212,6 +218,24 @@
         seen.put(endpoint, what);
     }
 
+    /** The changes of the voters, as they were known last: where to look for the others at a start. */
+    Map<String, String> voters() {
+        return voters;
+    }
+
+    /** Writes them down; durable with the next flush. */
+    void saveVoters(Map<String, String> changes) {
+        if (!voters.equals(changes)) {
+            voters.clear();
+            voters.putAll(changes);
+            try {
+                put(Rows.Table.META, VOTERS, new LinkedHashMap<>(voters));
+            } catch (IOException e) {
+                // put has noted it
+            }
+        }
+    }
+
     /** Writes down what was seen; durable with the next flush. */
     void saveSeen() {
         Map<String, Object> all = new LinkedHashMap<>();
--- a/src/main/java/wingroad/fleet/Seat.java
+++ b/src/main/java/wingroad/fleet/Seat.java
@@ -104,17 +104,42 @@
             host.log("fleet: state set aside as " + keep.wasAside() + "; this voter is a newcomer");
         }
         phase = keep.group().isEmpty() ? Phase.FRESH : Phase.PROVING;
-        rules.voters().forEach((name, address) -> {
-            if (!name.equals(rules.driver())) {
-                peers.put(name, new Peer(name, address));
-            }
-        });
+        knowPeers(keep.voters());
         say(phase == Phase.FRESH ? "belongs to no council yet" : "asks the others whether its state is the newest");
         proceed();
         look();
         tick();
     }
 
+    /** Whether the council is to have this voter, by the file and what was changed since. */
+    private boolean votes(String name) {
+        Map<String, String> changes = node == null ? keep.voters() : register.voters();
+        return changes.containsKey(name) ? !changes.get(name).isEmpty() : rules.voters().containsKey(name);
+    }
+
+    /** Peers by the file, with what was changed since; an address of the file counts before one that was told. */
+    private void knowPeers(Map<String, String> changes) {
+        Map<String, String> all = new TreeMap<>(rules.voters());
+        changes.forEach((name, address) -> {
+            if (address.isEmpty()) {
+                all.remove(name);
+            } else {
+                all.putIfAbsent(name, address);
+            }
+        });
+        all.remove(rules.driver());
+        all.forEach((name, address) -> peers.computeIfAbsent(name, n -> new Peer(n, address)));
+        for (Peer p : List.copyOf(peers.values())) {
+            // The engine still speaks to one that is being taken out.
+            boolean member = node != null && node.getCommittedMembers().getMembers().stream()
+                .anyMatch(e -> ((Endpoint) e).name().equals(p.name));
+            if (!all.containsKey(p.name) && !member) {
+                p.shut();
+                peers.remove(p.name);
+            }
+        }
+    }
+
     void stop() {
         stopped = true;
         peers.values().forEach(Peer::shut);
@@ -166,6 +191,13 @@
             breaks();
         }
         tellLeader();
+        if (phase == Phase.IN) {
+            knowPeers(register.voters());
+            keep.saveVoters(register.voters());
+            if (node.getStatus() == RaftNodeStatus.TERMINATED) {
+                takenOut();
+            }
+        }
         if (phase == Phase.IN && leads()) {
             admit();
         }
@@ -285,7 +317,7 @@
                 }
             }
         }
-        if (answers >= rules.voters().size() / 2) {
+        if (answers >= (peers.size() + 1) / 2) {
             enter();
         }
     }
@@ -309,6 +341,28 @@
             + restored.getTermPersistentState().getTerm()));
     }
 
+    /** One that is taken out is not sent the entry that says so: another voter's word, of a later entry than its own, does. */
+    private void hearsOfMembers(List<String> theirs, long settledAt) {
+        RaftGroupMembers own = node.getCommittedMembers();
+        if (settledAt > own.getLogIndex() && own.getMembers().contains(self()) && !theirs.contains(self().id())) {
+            takenOut();
+        }
+    }
+
+    /** The council has settled that this one votes no more: should it ever again, it comes as a newcomer. */
+    private void takenOut() {
+        say("has been taken out of the council");
+        leaveEngine();
+        try {
+            keep.setAside("taken out of the council");
+            host.log("fleet: state set aside as " + keep.wasAside());
+            phase = Phase.FRESH;
+            peers.values().forEach(Peer::shut);
+        } catch (IOException e) {
+            breaks();
+        }
+    }
+
     /** As the leader: a voter that lost its state gets the place of the one it was, one change at a time. */
     private void admit() {
         RaftGroupMembers members = node.getCommittedMembers();
@@ -316,8 +370,20 @@
             || node.getEffectiveMembers().getLogIndex() != members.getLogIndex()) {
             return;
         }
+        for (RaftEndpoint e : members.getMembers()) {
+            String name = ((Endpoint) e).name();
+            if (!votes(name) && members.getMembers().size() > 1) {
+                if (!name.equals(rules.driver())) {
+                    change(e, MembershipChangeMode.REMOVE_MEMBER, members);
+                } else {
+                    members.getMembers().stream().filter(o -> !o.equals(e) && peers.containsKey(((Endpoint) o).name())
+                        && peers.get(((Endpoint) o).name()).present()).findFirst().ifPresent(node::transferLeadership);
+                }
+                return;
+            }
+        }
         for (Peer p : peers.values()) {
-            if (!p.present()) {
+            if (!p.present() || !votes(p.name)) {
                 continue;
             }
             RaftEndpoint old = members.getMembers().stream().filter(e -> ((Endpoint) e).name().equals(p.name)
@@ -531,8 +597,10 @@
     /** What this voter says of itself to a caller. */
     private Map<String, Object> presence(String kind, String caller) {
         Keep.Seen s = keep.seen(caller);
+        RaftGroupMembers members = node == null ? null : node.getCommittedMembers();
         return Words.letter(kind, "fleet", rules.name(), "name", rules.driver(), "identity", keep.identity(), "group",
-            keep.group(), "term", s.term(), "entry-term", s.entryTerm(), "index", s.index(), "lead", node == null
+            keep.group(), "voters", new TreeMap<>(node == null ? keep.voters() : register.voters()), "members", members == null ? List.of() : Words.ids(members.getMembers()),
+            "members-at", members == null ? 0 : members.getLogIndex(), "term", s.term(), "entry-term", s.entryTerm(), "index", s.index(), "lead", node == null
                 || node.getTerm().getLeaderEndpoint() == null ? "" : ((Endpoint) node.getTerm().getLeaderEndpoint()).name());
     }
 
@@ -601,6 +669,9 @@
                     seenOfUs = new Keep.Seen((int) Words.number(m, "term"), (int) Words.number(m, "entry-term"),
                         Words.number(m, "index"));
                     refusal = "";
+                    if (group.equals(keep.group()) && node != null) {
+                        hearsOfMembers(Words.texts(m.get("members")), Words.number(m, "members-at"));
+                    }
                     proceed();
                 }
                 case "founding" -> {
@@ -782,7 +853,10 @@
                 case "ask" -> {
                     Op op = Words.op(Json.object(m.get("op"), "an op"));
                     boolean own = op.by().equals(session) && !session.isEmpty();
-                    if (own || op.kind() == Op.Kind.HAND_OVER) {
+                    String wrong = op.kind() == Op.Kind.VOTER ? whyNot(op) : "";
+                    if (!wrong.isEmpty()) {
+                        wire.send(Words.letter("answer", "ask", op.ask(), "result", wrong));
+                    } else if (own || op.kind() == Op.Kind.HAND_OVER || op.kind() == Op.Kind.VOTER) {
                         if (!op.ask().isEmpty()) {
                             asks.add(op.ask());
                         }
@@ -811,6 +885,24 @@
             }
         }
 
+        /** Why the voters can't be changed like that now, or empty. */
+        private String whyNot(Op op) {
+            if (node == null) {
+                return "this voter takes no part now";
+            }
+            List<String> now = node.getCommittedMembers().getMembers().stream().map(e -> ((Endpoint) e).name()).toList();
+            boolean settled = now.stream().allMatch(Seat.this::votes) && register.voters().entrySet().stream()
+                .allMatch(c -> c.getValue().isEmpty() || now.contains(c.getKey()))
+                && node.getEffectiveMembers().getLogIndex() == node.getCommittedMembers().getLogIndex();
+            if (!settled && !register.voters().getOrDefault(op.to(), "-").equals(op.duty())) {
+                return "the change before is not settled yet: one at a time";
+            }
+            if (op.duty().isEmpty() && now.size() <= 1) {
+                return "the last voter can't be taken out";
+            }
+            return op.duty().isEmpty() && !now.contains(op.to()) ? "'" + op.to() + "' does not vote" : "";
+        }
+
         /** Tells what is settled and not told yet. */
         private void push() {
             if (session.isEmpty() || node == null) {
--- a/src/test/java/wingroad/fleet/FleetIT.java
+++ b/src/test/java/wingroad/fleet/FleetIT.java
@@ -262,6 +262,30 @@
         throw new AssertionError("never " + count + " that go by the owner");
     }
 
+    @Test
+    void votersAreLetInAndTakenOutOneAtATime() throws Exception {
+        rig = new Rig(dir, 4, 3, RULES, Given.SETTINGS);
+        member = rig.member("m1", 7, true, true);
+        String at = rig.spare("d4");
+        rig.startAll();
+        first("a");
+        try (FleetClient c = new FleetClient(rules(), "d1")) {
+            assertThat(c.voter("d4", at, "q1")).isEmpty();
+            assertThat(c.voter("d3", "", "q2")).contains("one at a time");
+        }
+        awaitVoters(List.of("d1", "d2", "d3", "d4"), "d4");
+        try (FleetClient c = new FleetClient(rules(), "d1")) {
+            assertThat(c.voter("d3", "", "q3")).isEmpty();
+        }
+        rig.driver("d3").await("has been taken out of the council");
+        assertThat(rig.driver("d3").await("state set aside")).isNotNull();
+        // The new one counts: with d1 away d2 and d4 are a majority of three.
+        rig.driver("d1").kill();
+        int seen = member.entries();
+        member.await(seen + 6, e -> e.accepted());
+        nothingWrong();
+    }
+
     @Test
     void anotherFleetIsRefused() throws Exception {
         start(1, 1);
--- a/src/test/java/wingroad/rig/Rig.java
+++ b/src/test/java/wingroad/rig/Rig.java
@@ -22,7 +22,7 @@
  * of logs or on what members saw.
  */
 public final class Rig implements AutoCloseable {
-    private static final long PATIENCE_S = 40;
+    private static final long PATIENCE_S = Integer.getInteger("rig.patience", 40);
 
     public final Relays relays = new Relays();
     public final Map<String, Driver> drivers = new LinkedHashMap<>();
@@ -30,6 +30,8 @@
     public final StandInDiscovery discovery = new StandInDiscovery();
     private final Path dir;
     private final List<String> voters = new ArrayList<>();
+    /** Those that may be let in as voters: no file names them, and all reach them by one link. */
+    private final List<String> spare = new ArrayList<>();
     private final String fleet;
     private final String settings;
 
@@ -138,7 +140,7 @@
                 f.append("    voter \"").append(v).append("\" \"127.0.0.1:").append(relays.between(name, v).port())
                     .append("\"\n");
             }
-            if (voters.contains(name)) {
+            if (voters.contains(name) || spare.contains(name)) {
                 f.append("    listen \"127.0.0.1:0\"\n");
             }
             f.append("    state \"").append(state()).append("\"\n").append(fleet).append("}\n");
@@ -153,8 +155,10 @@
                     }
                     if (line.contains("listens at ")) {
                         int at = Integer.parseInt(line.replaceAll(".*listens at [^ ]*:([0-9]+).*", "$1"));
-                        for (Driver d : drivers.values()) {
-                            relays.between(d.name, name).leadTo(at);
+                        for (Relays.Link l : relays.all()) {
+                            if (l.to.equals(name)) {
+                                l.leadTo(at);
+                            }
                         }
                     }
                     synchronized (log) {
@@ -262,6 +266,12 @@
         return drivers.get(name);
     }
 
+    /** This driver listens, though no file names it as a voter; returns the address at which all reach it. */
+    public String spare(String name) throws IOException {
+        spare.add(name);
+        return "127.0.0.1:" + relays.link("all", name).port();
+    }
+
     public List<String> voters() {
         return voters;
     }
