--- a/src/bench/java/wingroad/fleet/OwnerBench.java
+++ b/src/bench/java/wingroad/fleet/OwnerBench.java
@@ -79,6 +79,16 @@
         Map<String, Object> off = args.length > 3 ? Map.of("served", 1.0) : new OwnerBench(count, seconds, seed, false).run();
         System.out.println("off " + off);
         Map<String, Object> on = new OwnerBench(count, seconds, seed, true).run();
+        List<Long> alone = new ArrayList<>();
+        List<Long> handed = new ArrayList<>();
+        long asksOff = lists(count, false, alone);
+        long asksOn = lists(count, true, handed);
+        on.put("discovery_asks_off", asksOff);
+        on.put("discovery_asks_on", asksOn);
+        on.put("discovery_asks_over_off", (double) asksOn / asksOff);
+        on.put("drain_told_ms_p50_off", at(alone, 0.5));
+        on.put("drain_told_ms_p99_on", at(handed, 0.99));
+        on.put("drain_told_later_ms_p99", at(handed, 0.99) - at(alone, 0.5));
         double ratio = (double) on.get("served") / (double) off.get("served");
         on.put("served_off", off.get("served"));
         on.put("served_ratio_during_faults", ratio);
@@ -88,6 +98,38 @@
         System.exit(0);
     }
 
+    /** Forty changes of the list, 0.6 s apart, at drivers without faults; how often discovery was asked meanwhile. */
+    private static long lists(int count, boolean handedOn, List<Long> toldAfter) throws Exception {
+        String rules = "    lease-ms " + LEASE_MS + "\n    drift 0.01\n" + (handedOn ? "    list check=60\n" : "");
+        try (Rig rig = new Rig(Files.createTempDirectory("lists"), count, 5, rules, Given.SETTINGS)) {
+            FencedMember primary = rig.member("m1", 7, true, true);
+            FencedMember replica = rig.member("m2", 7, false, true);
+            rig.startAll();
+            rig.discovery.tell(rig.entry("d1", primary, "ready") + "," + rig.entry("d1", replica, "ready"));
+            int follow = 0;
+            for (Rig.Driver d : rig.drivers.values()) {
+                d.await("list 1 ");
+                d.await("lease of");
+            }
+            while (handedOn && follow < count - 1) {
+                TimeUnit.MILLISECONDS.sleep(100);
+                follow = (int) rig.drivers.values().stream().filter(d -> d.when("goes by the owner") > 0).count();
+            }
+            int asked = rig.discovery.asked.size();
+            for (int rev = 2; rev < 42; rev++) {
+                long at = System.currentTimeMillis();
+                rig.discovery.tell(rig.entry("d1", primary, "ready") + "," + rig.entry("d1", replica,
+                    rev % 2 == 0 ? "draining" : "ready"));
+                TimeUnit.MILLISECONDS.sleep(600);
+                for (Rig.Driver d : rig.drivers.values()) {
+                    long told = d.when("list " + rev + " ");
+                    toldAfter.add(told == 0 ? 600 : told - at);
+                }
+            }
+            return rig.discovery.asked.size() - asked;
+        }
+    }
+
     private void count(String what) {
         counts.computeIfAbsent(what, w -> new AtomicInteger()).incrementAndGet();
     }
--- a/src/bench/java/wingroad/fleet/OwnerSim.java
+++ b/src/bench/java/wingroad/fleet/OwnerSim.java
@@ -1,5 +1,6 @@
 package wingroad.fleet;
 
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
 import wingroad.fleet.SimFleet.Wrong;
@@ -16,6 +17,10 @@
             System.out.println(String.join("\n", f.lines));
             return;
         }
+        if (args[0].equals("big")) {
+            System.out.println(big(250, 100));
+            return;
+        }
         if (args[0].equals("wrong")) {
             for (Wrong w : Wrong.values()) {
                 long seed = 0;
@@ -45,6 +50,34 @@
             + sums[1] + ", accepted " + sums[2] + ", s " + (System.nanoTime() - begun) / 1_000_000_000);
     }
 
+    /** Many drivers without faults, then a tenth of them killed at once. */
+    static String big(int drivers, int duties) {
+        SimFleet f = new SimFleet(1, drivers, 5, duties, Duration.ofSeconds(60), Wrong.NONE);
+        f.procs.values().forEach(SimFleet.Proc::start);
+        f.play(15_000);
+        long bytes = f.bytes;
+        long cpu = cpu();
+        f.play(30_000);
+        double perDriver = (f.bytes - bytes) / 30.0 / drivers;
+        double share = (cpu() - cpu) / 30e9;
+        List<SimFleet.Proc> dead = f.procs.values().stream().skip(5).filter(p -> p.name.hashCode() % 10 == 0)
+            .limit(drivers / 10).toList();
+        dead.forEach(SimFleet.Proc::kill);
+        long from = f.now;
+        while (f.now - from < 60_000_000_000L && f.owners().values().stream().anyMatch(o -> o.isEmpty()
+            || dead.stream().anyMatch(d -> o.startsWith(d.name + "/")))) {
+            f.play(20);
+        }
+        return String.format("drivers %d, duties %d, dead %d: bytes_per_driver_s %.0f, cpu of all in one process %.3f of a core, "
+            + "takeover_all_ms %d (lease %d), broken %d", drivers, duties, dead.size(), perDriver, share,
+            (f.now - from) / 1_000_000, SimFleet.LEASE.toMillis(), f.broken.size());
+    }
+
+    private static long cpu() {
+        return ((com.sun.management.OperatingSystemMXBean) java.lang.management.ManagementFactory.getOperatingSystemMXBean())
+            .getProcessCpuTime();
+    }
+
     static SimFleet play(long seed, Wrong wrong) {
         if (wrong == Wrong.VOTE_FORGOTTEN) {
             SimFleet f = new SimFleet(seed, 5, 3, 2, wrong);
--- a/src/main/java/wingroad/driver/Driver.java
+++ b/src/main/java/wingroad/driver/Driver.java
@@ -15,8 +15,6 @@
 import java.util.concurrent.CountDownLatch;
 import sun.misc.Signal;
 import wingroad.door.FairDoor;
-import wingroad.fleet.Fleet;
-import wingroad.fleet.FleetRules;
 import wingroad.operator.OperatorFile;
 import wingroad.protocol.MemberList;
 import wingroad.routing.Router;
@@ -50,9 +48,7 @@
     private OperatorFile operator;
     private FairDoor door;
     /** The driver's part in the fleet, or null. */
-    private Fleet fleet;
-    /** Where one driver asks discovery for all, or null. */
-    private ListDesk listDesk;
+    private FleetPart fleet;
     private final List<String> zones;
     private final List<String> kinds;
     /** The list comes only when the module asks for it. */
@@ -174,31 +170,17 @@
             throw failure[0];
         }
         loop.after(TALLY_EVERY, this::report);
-        joinFleet();
+        if (operator != null && operator.fleet() != null) {
+            loop.run(this::joinFleet);
+        }
     }
 
-    /** Begins only once clients are served; where it can't, they are served all the same. */
+    /** Where it can't begin, clients are served all the same. */
     private void joinFleet() {
-        if (operator != null && operator.fleet() != null) {
-            FleetRules rules = operator.fleet().named(commission.name());
-            ListDesk lists = rules.listCheck() == null || asked ? null
-                : new ListDesk(loop, clock, discovery, rules, commission.known().version(),
-                    this::learn, log::line);
-            ChoreDesk desk = new ChoreDesk(loop, exchange, Terms.of(commission.settings()));
-            try {
-                Fleet begun = Fleet.begin(rules, log::line, log::fault, desk, lists == null ? (epoch, m) -> { }
-                    : lists::letter);
-                desk.answerOn(begun::run);
-                loop.run(() -> {
-                    fleet = begun;
-                    listDesk = lists;
-                    if (lists != null) {
-                        lists.begin(begun);
-                    }
-                });
-            } catch (IOException e) {
-                log.line("fleet: can't begin: " + e.getMessage());
-            }
+        try {
+            fleet = FleetPart.begin(operator.fleet(), loop, clock, exchange, discovery, commission, !asked, this::learn, log);
+        } catch (IOException e) {
+            log.line("fleet: can't begin: " + e.getMessage());
         }
     }
 
@@ -214,8 +196,8 @@
 
     private void found(MemberList list) {
         learn(list);
-        if (listDesk != null) {
-            listDesk.found(list);
+        if (fleet != null) {
+            fleet.found(list);
         }
     }
 
--- a/src/test/java/wingroad/driver/DriverIT.java
+++ b/src/test/java/wingroad/driver/DriverIT.java
@@ -705,6 +705,8 @@
         }
         assertThat(lines).anyMatch(l -> l.contains(" wingroad.routing.TxnRouter "));
         assertThat(lines).noneMatch(l -> l.contains(" picocli.") || l.contains(" org.antlr.") || l.contains(" wingroad.door.")
-            || l.contains(" wingroad.operator.") || l.contains(" wingroad.cli.") || l.contains(" com.dynatrace."));
+            || l.contains(" wingroad.operator.") || l.contains(" wingroad.cli.") || l.contains(" com.dynatrace.")
+            || l.contains(" wingroad.fleet.") || l.contains(" wingroad.duty.") || l.contains(" io.microraft.")
+            || l.contains(" org.sqlite."));
     }
 }
--- a/src/test/java/wingroad/fleet/SimFleet.java
+++ b/src/test/java/wingroad/fleet/SimFleet.java
@@ -63,13 +63,17 @@
     int lateRefused;
 
     SimFleet(long seed, int drivers, int voting, int duties, Wrong wrong) {
+        this(seed, drivers, voting, duties, Duration.ofMillis(800), wrong);
+    }
+
+    SimFleet(long seed, int drivers, int voting, int duties, Duration every, Wrong wrong) {
         random = new Random(seed);
         this.wrong = wrong;
         for (int i = 0; i < voting; i++) {
             voters.put(name(i), name(i));
         }
         for (int i = 0; i < duties; i++) {
-            chores.add(new FleetRules.Chore("c" + i, Duration.ofMillis(800), 7, "SELECT f({epoch})"));
+            chores.add(new FleetRules.Chore("c" + i, every, 7, "SELECT f({epoch})"));
         }
         for (int i = 0; i < drivers; i++) {
             Proc p = new Proc(name(i));
--- a/src/test/java/wingroad/rig/Rig.java
+++ b/src/test/java/wingroad/rig/Rig.java
@@ -180,6 +180,13 @@
             }
         }
 
+        /** When the first line with these words came, in Unix milliseconds; 0 where none did. */
+        public long when(String words) {
+            synchronized (log) {
+                return log.stream().filter(l -> l.text.contains(words)).mapToLong(Line::at).findFirst().orElse(0);
+            }
+        }
+
         /** Waits for a line; what came before counts too, from this index on. */
         public String await(int from, Predicate<String> line) throws InterruptedException {
             long end = System.nanoTime() + TimeUnit.SECONDS.toNanos(PATIENCE_S);
