--- a/src/test/java/wingroad/fleet/FleetIT.java
+++ b/src/test/java/wingroad/fleet/FleetIT.java
@@ -286,6 +286,130 @@
         nothingWrong();
     }
 
+    @Test
+    void aVoterThatCannotWriteVotesNoMoreAndServesOn() throws Exception {
+        rig = new Rig(dir, 4, 3, RULES, Given.SETTINGS);
+        member = rig.member("m1", 7, true, true);
+        Rig.Driver full = rig.driver("d2");
+        full.largestFileKb = 200;
+        rig.startAll();
+        first("a");
+        full.await("can't write its state, and votes no more");
+        try (Client c = new Client(full.port())) {
+            c.startup().heard();
+            assertThat(c.ask(Given.read("served")).heard()).containsExactly("row value");
+        }
+        int seen = member.entries();
+        member.await(seen + 6, FencedMember.Entry::accepted);
+        nothingWrong();
+    }
+
+    @Test
+    void aFolderThatIsNoneKeepsADriverOutOfTheFleetAlone() throws Exception {
+        rig = new Rig(dir, 4, 3, RULES, Given.SETTINGS);
+        member = rig.member("m1", 7, true, true);
+        Rig.Driver without = rig.driver("d4");
+        Files.writeString(without.state(), "a file");
+        rig.startAll();
+        without.await("can't begin, tries again");
+        try (Client c = new Client(without.port())) {
+            c.startup().heard();
+            assertThat(c.ask(Given.read("served")).heard()).containsExactly("row value");
+        }
+        Files.delete(without.state());
+        without.await("lease of d4/");
+        nothingWrong();
+    }
+
+    @Test
+    void aSecondProcessOfANameIsRefused() throws Exception {
+        rig = new Rig(dir, 5, 3, RULES, Given.SETTINGS);
+        member = rig.member("m1", 7, true, true);
+        for (String name : List.of("d1", "d2", "d3", "d4")) {
+            rig.driver(name).start();
+        }
+        rig.driver("d4").await("lease of d4/");
+        rig.driver("d5").as = "d4";
+        rig.driver("d5").start();
+        rig.driver("d5").await("no session: another driver is known by the name 'd4'");
+        // Once the first is gone and its lease has run out, the name is free.
+        rig.driver("d4").kill();
+        rig.driver("d5").await("lease of d4/");
+        nothingWrong();
+    }
+
+    @Test
+    void whileAnotherVoterIsDownOneWithoutStateIsNotLetIn() throws Exception {
+        start(4, 3);
+        FencedMember.Entry e = first("a");
+        rig.driver("d2").kill();
+        rig.driver("d3").kill();
+        rig.driver("d3").loseState();
+        rig.driver("d3").start();
+        rig.driver("d4").await("has run out");
+        rig.driver("d1").await("has run out");
+        assertThat(rig.driver("d3").log()).noneMatch(l -> l.contains("takes part in council"));
+        int seen = member.entries();
+        rig.driver("d2").start();
+        FencedMember.Entry again = member.await(seen, x -> x.chore().equals("a") && x.accepted());
+        assertThat(again.epoch()).isGreaterThanOrEqualTo(e.epoch());
+        rig.driver("d3").await("takes part in council");
+        awaitVoters(List.of("d1", "d2", "d3"), "d3");
+        nothingWrong();
+    }
+
+    @Test
+    void aReleaseThatRestartsAllInTurnRunsNoTurnTwice() throws Exception {
+        start(4, 3);
+        first("a");
+        first("b");
+        for (Rig.Driver d : rig.drivers.values()) {
+            d.terminate();
+            d.awaitEnd();
+            d.start();
+            d.await("lease of");
+        }
+        int seen = member.entries();
+        member.await(seen, x -> x.chore().equals("a") && x.accepted());
+        member.await(seen, x -> x.chore().equals("b") && x.accepted());
+        nothingWrong();
+    }
+
+    @Test
+    void aStatementBrokenOffInItsMiddleIsNotRepeated() throws Exception {
+        start(4, 3);
+        FencedMember.Entry e = first("a");
+        Rig.Driver owner = runner(e);
+        Relays.Link link = rig.relays.between(owner.name, "m1");
+        BlockingQueue<Object> held = new LinkedBlockingQueue<>();
+        link.tap((l, way, bytes, connection) -> way == Relays.Way.FORTH && text(bytes).contains("fenced_a") && held.isEmpty()
+            && held.add(connection));
+        assertThat(held.poll(20, TimeUnit.SECONDS)).as("the owner's next statement").isNotNull();
+        int from = owner.lines();
+        rig.relays.breakOff(link);
+        String told = owner.await(from, l -> l.contains("fleet: chore a turn") && l.contains("refused or broken off"));
+        long turn = Long.parseLong(told.replaceAll(".* turn ([0-9]+) .*", "$1"));
+        FencedMember.Entry next = member.await(0, x -> x.chore().equals("a") && x.turn() > turn);
+        assertThat(member.ledger()).noneMatch(x -> x.chore().equals("a") && x.turn() == turn);
+        assertThat(next.accepted()).isTrue();
+        nothingWrong();
+    }
+
+    @Test
+    void oneVoterAndOneMoreAreAFleetOfTwo() throws Exception {
+        start(2, 1);
+        FencedMember.Entry a = first("a");
+        FencedMember.Entry b = first("b");
+        rig.driver("d2").kill();
+        int seen = member.entries();
+        member.await(seen + 8, x -> x.accepted());
+        for (FencedMember.Entry e : List.of(a, b)) {
+            FencedMember.Entry next = member.await(seen, x -> x.chore().equals(e.chore()));
+            assertThat(runner(next).name).isEqualTo("d1");
+        }
+        nothingWrong();
+    }
+
     @Test
     void anotherFleetIsRefused() throws Exception {
         start(1, 1);
--- a/src/test/java/wingroad/fleet/SimFleet.java
+++ b/src/test/java/wingroad/fleet/SimFleet.java
@@ -160,6 +160,14 @@
             }
         }
 
+        void readAgain() {
+            try {
+                seat.resume(this::keep);
+            } catch (IOException e) {
+                throw new UncheckedIOException(e);
+            }
+        }
+
         void kill() {
             if (alive) {
                 alive = false;
@@ -628,7 +636,21 @@
     private void fault() {
         faults++;
         Proc p = any();
-        switch (random.nextInt(12)) {
+        switch (random.nextInt(13)) {
+            case 12 -> {
+                // Its disk is full for a while; then its state is read again, as Fleet does.
+                if (p.seat != null && p.alive) {
+                    p.rows.full = true;
+                    int mine = p.life;
+                    at(now + 3_000_000_000L, () -> {
+                        p.rows.full = false;
+                        if (mine == p.life && p.seat.phase() == Seat.Phase.BROKEN) {
+                            p.rows = p.rows.afterKill();
+                            p.task(now, p::readAgain);
+                        }
+                    });
+                }
+            }
             case 0, 1 -> p.pauseFor(LEASE.toMillis() * (1 + random.nextInt(3)) / 2);
             case 2, 3 -> {
                 p.kill();
--- a/src/test/java/wingroad/rig/Rig.java
+++ b/src/test/java/wingroad/rig/Rig.java
@@ -78,10 +78,15 @@
         private final List<Line> log = new ArrayList<>();
         private int port;
         public boolean stopped;
+        /** The name that it gives itself in the fleet. */
+        public String as;
+        /** How large a file of its may grow, in KB; 0 for any size: what is beyond is like a full disk. */
+        public int largestFileKb;
         public int starts;
 
         private Driver(String name) throws IOException {
             this.name = name;
+            as = name;
             home = Files.createDirectories(dir.resolve(name));
             relays.link(name, "discovery").leadTo(discovery.port());
         }
@@ -119,6 +124,9 @@
             if (fleet != null) {
                 command.addAll(List.of("--operator", operator().toString()));
             }
+            if (largestFileKb > 0) {
+                command = List.of("bash", "-c", "ulimit -f " + largestFileKb + "; exec " + String.join(" ", command));
+            }
             ProcessBuilder b = new ProcessBuilder(command).redirectErrorStream(true);
             b.environment().put("LB_CONFIG", config.toString());
             synchronized (log) {
@@ -135,7 +143,7 @@
 
         /** Its operator's file: voters by this driver's own links. */
         public Path operator() throws IOException {
-            StringBuilder f = new StringBuilder("fleet \"rig\" {\n    driver \"" + name + "\"\n");
+            StringBuilder f = new StringBuilder("fleet \"rig\" {\n    driver \"" + as + "\"\n");
             for (String v : voters) {
                 f.append("    voter \"").append(v).append("\" \"127.0.0.1:").append(relays.between(name, v).port())
                     .append("\"\n");
