A killed voter leaves no library behind; asks go out at once on a new connection; full disk shown

Seen: each killed voter left the database's unpacked library (1 MB) in the system's folder for temporary files; it is unpacked into the state folder now and what lies there at a start is deleted. An error of a full disk wrapped itself with each write; the first one counts now.

--- a/src/main/java/wingroad/fleet/Attendant.java
+++ b/src/main/java/wingroad/fleet/Attendant.java
@@ -55,6 +55,7 @@
     private boolean stopped;
     private String refusal = "";
     private boolean hadLease;
+    private boolean hurried;
 
     /**
      * @param identity of the state folder
@@ -133,30 +134,39 @@
             return;
         }
         Duration now = host.now();
-        if (wire == null && now.compareTo(openAt) >= 0) {
-            heardAt = now;
-            wire = net.open(addresses.get(order.get(at)), this);
-        } else if (wire != null && now.minus(heardAt).compareTo(rules.lease().held().dividedBy(3)) > 0) {
+        hurried = false;
+        connect();
+        if (wire != null && now.minus(heardAt).compareTo(rules.lease().held().dividedBy(3)) > 0) {
             // Nothing is settled there: it may be cut off itself.
             next();
         }
-        if (up) {
-            if (leaving) {
-                send(Op.leave(tenure.session()));
-            } else {
-                if (!opened) {
-                    send(Op.open(tenure.session(), identity, rules.duties()));
-                }
-                wire.send(Words.letter("beat", "n", tenure.beat(now)));
-                asks.values().forEach(this::send);
-            }
-        }
+        askAll();
         tellLease(now);
         giveBack();
         doer.look();
         host.after(rules.lease().beat(), this::beat);
     }
 
+    private void connect() {
+        if (wire == null && !stopped && host.now().compareTo(openAt) >= 0) {
+            heardAt = host.now();
+            wire = net.open(addresses.get(order.get(at)), this);
+        }
+    }
+
+    /** All that is to be settled, once more. */
+    private void askAll() {
+        if (up && leaving) {
+            send(Op.leave(tenure.session()));
+        } else if (up) {
+            if (!opened) {
+                send(Op.open(tenure.session(), identity, rules.duties()));
+            }
+            wire.send(Words.letter("beat", "n", tenure.beat(host.now())));
+            asks.values().forEach(this::send);
+        }
+    }
+
     private void tellLease(Duration now) {
         boolean has = tenure.isOpen() && now.compareTo(tenure.until()) < 0;
         if (has != hadLease) {
@@ -181,6 +191,11 @@
         shut();
         at = (at + 1) % order.size();
         openAt = host.now();
+        if (!hurried) {
+            // The next one at once, but no more than one between two beats: all of them may be gone.
+            hurried = true;
+            host.run(this::connect);
+        }
     }
 
     private void shut() {
@@ -196,6 +211,7 @@
         up = true;
         w.send(Words.letter("hello", "fleet", rules.name(), "name", rules.driver(), "role", "driver", "identity", identity,
             "run", run()));
+        askAll();
     }
 
     /** The voters as they are now: those of the file, and what was changed since. */
--- a/src/main/java/wingroad/fleet/Keep.java
+++ b/src/main/java/wingroad/fleet/Keep.java
@@ -318,7 +318,7 @@
             whole();
             rows.flush();
         } catch (IOException e) {
-            broken = e;
+            broken = broken == null ? e : broken;
             throw e;
         }
     }
@@ -334,7 +334,7 @@
             whole();
             rows.drop(table, from, to);
         } catch (IOException e) {
-            broken = e;
+            broken = broken == null ? e : broken;
             throw e;
         }
     }
@@ -345,7 +345,7 @@
             whole();
             rows.put(table, key, ByteBuffer.allocate(SUM + body.length).putInt(sum(body, 0)).put(body).array());
         } catch (IOException e) {
-            broken = e;
+            broken = broken == null ? e : broken;
             throw e;
         }
     }
--- a/src/main/java/wingroad/fleet/StateFolder.java
+++ b/src/main/java/wingroad/fleet/StateFolder.java
@@ -5,6 +5,7 @@
 import java.nio.channels.FileLock;
 import java.nio.channels.OverlappingFileLockException;
 import java.nio.charset.StandardCharsets;
+import java.nio.file.DirectoryStream;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.nio.file.StandardCopyOption;
@@ -56,6 +57,7 @@
 
     /** The voter's state; what is no database is set aside under another name. */
     Keep keep() throws IOException {
+        unpackHere();
         Path file = dir.resolve("council.db");
         try {
             return new Keep(new SqliteRows(file), names);
@@ -66,6 +68,22 @@
         }
     }
 
+    /**
+     * The database's own library is unpacked into a file at each start, and one that was killed leaves it behind. In here,
+     * under the folder's lock, what is found is nobody's any more.
+     */
+    private void unpackHere() throws IOException {
+        Path unpacked = Files.createDirectories(dir.resolve("unpacked"));
+        if (!unpacked.toString().equals(System.getProperty("org.sqlite.tmpdir"))) {
+            try (DirectoryStream<Path> old = Files.newDirectoryStream(unpacked)) {
+                for (Path p : old) {
+                    Files.delete(p);
+                }
+            }
+            System.setProperty("org.sqlite.tmpdir", unpacked.toString());
+        }
+    }
+
     @Override
     public void close() {
         try {
