--- a/src/bench/java/wingroad/fleet/OwnerSim.java
+++ b/src/bench/java/wingroad/fleet/OwnerSim.java
@@ -12,15 +12,15 @@
 
     /** {@code SEED} shows one; {@code FROM COUNT} plays many on all cores and prints what broke. */
     public static void main(String[] args) {
+        if (args[0].equals("big")) {
+            System.out.println(big(250, 100));
+            return;
+        }
         if (args.length == 1) {
             SimFleet f = play(Long.parseLong(args[0]), Wrong.NONE);
             System.out.println(String.join("\n", f.lines));
             return;
         }
-        if (args[0].equals("big")) {
-            System.out.println(big(250, 100));
-            return;
-        }
         if (args[0].equals("wrong")) {
             for (Wrong w : Wrong.values()) {
                 long seed = 0;
