Virtual time: a restarted process hears nothing of its predecessor's connections

The play told a restarted process of the end of its predecessor's connection, and the old attendant, which now connects at once, came to life again; a real process has the state folder's lock and no such memory. Ends of connections now belong to one life of a process.

--- a/src/test/java/wingroad/fleet/SimFleet.java
+++ b/src/test/java/wingroad/fleet/SimFleet.java
@@ -399,11 +399,13 @@
         final Net.Owner owner;
         final Pipe pipe;
         final ArrayDeque<Runnable> queue = new ArrayDeque<>();
+        private final int life;
         long free;
         boolean closed;
 
         End(Proc proc, Net.Owner owner, Pipe pipe) {
             this.proc = proc;
+            this.life = proc.life;
             this.owner = owner;
             this.pipe = pipe;
         }
@@ -445,7 +447,7 @@
                     End to = other();
                     if (pipe.open && to != null && !to.closed) {
                         to.proc.task(now, () -> {
-                            if (!to.closed) {
+                            if (!to.closed && to.proc.life == to.life) {
                                 to.owner.letter(to, Cbor.map(text));
                             }
                         });
@@ -455,7 +457,8 @@
         }
 
         void ends(String how) {
-            if (!closed) {
+            // A process that was started again hears nothing of its predecessor's connections.
+            if (!closed && proc.life == life) {
                 closed = true;
                 pipe.open = false;
                 pipes.remove(pipe);
