A voter whose engine misses no silent leader begins again with its state

Seen: a new test of real processes, links that flap, stood still for 40 s: d3, the leader, heard nobody and stepped down, d1 knew of no leader, d2 went on believing in d3 (its log has no "no leader is known" after 00:12:09.7, where it had polled and heard d3 again). Ruled out: a timer of ours that died (its lease and tally lines went on), the relays (what was held was let go on the next cut). So a voter that polled once in vain is deaf to the silence of its leader for the rest of that term, and where its log is the newest nobody else can be elected.

Change: Seat notices that a leader is believed in and silent for twice the engine's time, and begins again with its state, as after a restart.

--- a/src/main/java/wingroad/fleet/Fleet.java
+++ b/src/main/java/wingroad/fleet/Fleet.java
@@ -111,7 +111,7 @@
             }
             String identity = folder.identity();
             if (rules.listen() != null) {
-                seat = new Seat(here, net, rules, folder.keep(), random.nextLong());
+                seat = new Seat(here, net, rules, folder::keep, random.nextLong());
                 door = net.listen(LoopNet.address(rules.listen()), () -> seat.guest());
                 seat.start();
                 watch();
@@ -143,7 +143,7 @@
     private void watch() {
         if (seat != null && seat.phase() == Seat.Phase.BROKEN && !leaving) {
             try {
-                seat.resume(folder::keep);
+                seat.resume();
             } catch (IOException e) {
                 // Still not: it goes on being no voter.
             }
--- a/src/main/java/wingroad/fleet/Seat.java
+++ b/src/main/java/wingroad/fleet/Seat.java
@@ -6,7 +6,9 @@
 import io.microraft.RaftNode;
 import io.microraft.RaftNodeStatus;
 import io.microraft.executor.RaftNodeExecutor;
+import io.microraft.model.message.AppendEntriesRequest;
 import io.microraft.model.message.AppendEntriesSuccessResponse;
+import io.microraft.model.message.InstallSnapshotRequest;
 import io.microraft.model.message.PreVoteRequest;
 import io.microraft.model.message.PreVoteResponse;
 import io.microraft.model.message.RaftMessage;
@@ -50,6 +52,8 @@
         .setLeaderHeartbeatPeriodSecs(1).setLeaderHeartbeatTimeoutSecs(4).setCommitCountToTakeSnapshot(2000)
         .setMaxPendingLogEntryCount(2000).setRaftNodeReportPublishPeriodSecs(36_000).build();
     private static final int ENGINE_SECONDS = 12;
+    /** An engine looks for another leader after four of its seconds of silence; by now it does not look. */
+    private static final int ENGINE_LOST = 8;
     private static final Duration LOOK = Duration.ofMillis(250);
     private static final Duration PING = Duration.ofMillis(500);
     private static final Duration SILENT = Duration.ofMillis(2500);
@@ -73,6 +77,7 @@
     private final Net net;
     private final FleetRules rules;
     private final Random random;
+    private final Reader reader;
     private Keep keep;
     private Register register = new Register(0);
     private final Overdue overdue;
@@ -86,15 +91,19 @@
     private final Set<String> founding = new LinkedHashSet<>();
     private boolean pushAsked;
     private boolean changing;
+    /** When something came from a leader last, or the engine has known of none. */
+    private Duration ledAt = Duration.ZERO;
     private boolean stopped;
     private String said = "";
     private String led = "";
 
-    Seat(Host host, Net net, FleetRules rules, Keep keep, long seed) {
+    /** @param reader reads the voter's state anew, once the former one is closed */
+    Seat(Host host, Net net, FleetRules rules, Reader reader, long seed) throws IOException {
         this.host = host;
         this.net = net;
         this.rules = rules;
-        this.keep = keep;
+        this.reader = reader;
+        this.keep = reader.read();
         this.random = new Random(seed);
         this.overdue = new Overdue(rules.lease());
     }
@@ -201,10 +210,33 @@
         if (phase == Phase.IN && leads()) {
             admit();
         }
+        missLeader();
         keep.saveSeen();
         host.after(LOOK, this::look);
     }
 
+    /**
+     * A voter that polled for an election and heard its old leader again, in the same term, takes no notice any more when that
+     * leader falls silent: the engine (0.7) thinks that its poll still runs. Where its log is the newest, nobody else can be
+     * elected. So it begins again with its state, as after a restart.
+     */
+    private void missLeader() {
+        RaftEndpoint leader = node == null ? null : node.getTerm().getLeaderEndpoint();
+        if (leader == null || leads()) {
+            ledAt = host.now();
+        } else if (host.now().minus(ledAt).toNanos() > ENGINE_LOST * engineSecond() * 1e9) {
+            ledAt = host.now();
+            say("has not heard " + ((Endpoint) leader).name() + " and its engine misses nobody: begins again with its state");
+            leaveEngine();
+            phase = Phase.BROKEN;
+            try {
+                resume();
+            } catch (IOException e) {
+                breaks();
+            }
+        }
+    }
+
     private void tellLeader() {
         RaftEndpoint leader = node == null ? null : node.getTerm().getLeaderEndpoint();
         String now = leader == null ? "" : ((Endpoint) leader).name();
@@ -241,7 +273,7 @@
     }
 
     /** The same voter goes on with state that is read again. */
-    void resume(Reader reader) throws IOException {
+    void resume() throws IOException {
         keep.close();
         keep = reader.read();
         phase = keep.group().isEmpty() ? Phase.FRESH : Phase.PROVING;
@@ -792,6 +824,9 @@
                 case "raft" -> {
                     RaftMessage message = Words.message(Json.object(m.get("m"), "a message"));
                     saw(message);
+                    if (message instanceof AppendEntriesRequest || message instanceof InstallSnapshotRequest) {
+                        ledAt = host.now();
+                    }
                     if (node != null && keep.group().equals(message.getGroupId())) {
                         node.handle(message);
                     }
--- a/src/test/java/wingroad/fleet/FleetIT.java
+++ b/src/test/java/wingroad/fleet/FleetIT.java
@@ -15,15 +15,20 @@
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.CleanupMode;
 import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.api.parallel.Execution;
+import org.junit.jupiter.api.parallel.ExecutionMode;
 import wingroad.Given;
 import wingroad.Given.Client;
 import wingroad.operator.OperatorFile;
 import wingroad.rig.FencedMember;
 import wingroad.rig.Relays;
 import wingroad.rig.Rig;
+import wingroad.rig.SlowDisk;
 
 /** Several real processes of the packaged program, with faults between them. */
+@Execution(ExecutionMode.CONCURRENT)
 class FleetIT {
     private static final String RULES = """
             lease-ms 3000
@@ -32,7 +37,7 @@
             chore "b" every=0.5 group=7 statement="SELECT fenced_b({epoch})"
         """;
 
-    @TempDir
+    @TempDir(cleanup = CleanupMode.ON_SUCCESS)
     Path dir;
 
     private Rig rig;
@@ -305,6 +310,53 @@
         nothingWrong();
     }
 
+    @Test
+    void linksThatFlapNeitherLoseADutyNorGiveItTwice() throws Exception {
+        start(4, 3);
+        first("a");
+        first("b");
+        int seen = member.entries();
+        for (int i = 0; i < 24; i++) {
+            String name = "d" + (i % 4 + 1);
+            boolean both = i % 3 == 0;
+            if (both) {
+                rig.cutFromCouncil(name, true);
+            } else {
+                rig.cutOneWay(name, i % 3 == 1, true);
+            }
+            // Each cut lasts as long as it takes until somebody's next chore has come.
+            member.await(member.entries(), FencedMember.Entry::accepted);
+            rig.cutFromCouncil(name, false);
+        }
+        member.await(member.entries(), e -> e.chore().equals("a") && e.accepted());
+        member.await(member.entries(), e -> e.chore().equals("b") && e.accepted());
+        assertThat(member.entries()).isGreaterThan(seen + 24);
+        nothingWrong();
+    }
+
+    @Test
+    void aLeaderWhoseDiskIsSlowLeadsOnOrIsReplacedAndOneWhoseDiskHangsVotesNoMore() throws Exception {
+        start(4, 3);
+        first("a");
+        Rig.Driver leader = rig.driver(String.valueOf(status().get("leader")));
+        try (SlowDisk disk = new SlowDisk(leader.state().resolve("council.db"))) {
+            disk.slow(300);
+            int seen = member.entries();
+            member.await(seen + 8, FencedMember.Entry::accepted);
+            // A write that does not come to an end within the store's patience is a broken disk.
+            disk.hang();
+            leader.await("can't write its state, and votes no more");
+            try (Client c = new Client(leader.port())) {
+                c.startup().heard();
+                assertThat(c.ask(Given.read("served")).heard()).containsExactly("row value");
+            }
+            member.await(member.entries() + 4, FencedMember.Entry::accepted);
+        }
+        int from = leader.lines();
+        leader.await(from, l -> l.contains("takes part in council"));
+        nothingWrong();
+    }
+
     @Test
     void aFolderThatIsNoneKeepsADriverOutOfTheFleetAlone() throws Exception {
         rig = new Rig(dir, 4, 3, RULES, Given.SETTINGS);
--- a/src/test/java/wingroad/fleet/SimFleet.java
+++ b/src/test/java/wingroad/fleet/SimFleet.java
@@ -141,7 +141,11 @@
             Net net = (address, owner) -> open(this, address, owner);
             seat = null;
             if (voters.containsKey(name)) {
-                seat = new Seat(this, net, rules, keep(), random.nextLong());
+                try {
+                    seat = new Seat(this, net, rules, this::keep, random.nextLong());
+                } catch (IOException e) {
+                    throw new UncheckedIOException(e);
+                }
                 seat.start();
             }
             Function<String, Tenure> tenures = wrong == Wrong.LEASE_FROM_ANSWER ? s -> new FromAnswer(rules.lease(), s)
@@ -152,17 +156,14 @@
             attendant.start(work);
         }
 
-        private Keep keep() {
-            try {
-                return new Keep(rows, () -> Long.toHexString(random.nextLong()));
-            } catch (IOException e) {
-                throw new UncheckedIOException(e);
-            }
+        private Keep keep() throws IOException {
+            rows = rows.afterKill();
+            return new Keep(rows, () -> Long.toHexString(random.nextLong()));
         }
 
         void readAgain() {
             try {
-                seat.resume(this::keep);
+                seat.resume();
             } catch (IOException e) {
                 throw new UncheckedIOException(e);
             }
@@ -648,7 +649,6 @@
                     at(now + 3_000_000_000L, () -> {
                         p.rows.full = false;
                         if (mine == p.life && p.seat.phase() == Seat.Phase.BROKEN) {
-                            p.rows = p.rows.afterKill();
                             p.task(now, p::readAgain);
                         }
                     });
--- a/src/test/java/wingroad/fleet/SimFleetTest.java
+++ b/src/test/java/wingroad/fleet/SimFleetTest.java
@@ -59,6 +59,38 @@
         assertThat(broken).anyMatch(b -> b.contains("two votes"));
     }
 
+    /**
+     * Guards against the engine (0.7) losing its way: a voter that polled for an election and then heard its old leader again
+     * in the same term takes no notice when that leader falls silent later. Where its log is the newest, nobody else can lead.
+     */
+    @Test
+    void aVoterThatPolledInVainStillMissesItsLeader() {
+        for (int seed = 0; seed < 5; seed++) {
+            SimFleet f = new SimFleet(seed, 3, 3, 2, Wrong.NONE);
+            f.procs.values().forEach(SimFleet.Proc::start);
+            f.play(8000);
+            SimFleet.Proc leader = f.procs.values().stream().filter(p -> p.seat.leads()).findFirst().orElseThrow();
+            List<SimFleet.Proc> others = f.procs.values().stream().filter(p -> p != leader).toList();
+            SimFleet.Proc polls = others.get(0);
+            f.hold(leader.name, polls.name);
+            f.play(2200);
+            f.heal();
+            f.play(3000);
+            assertThat(leader.seat.leads()).as("seed " + seed + ": it leads on").isTrue();
+            f.hold(leader.name, others.get(1).name);
+            f.play(700);
+            leader.kill();
+            f.heal();
+            boolean another = false;
+            for (int ms = 0; ms < 12_000 && !another; ms += 100) {
+                f.play(100);
+                another = others.stream().anyMatch(p -> p.seat.leads());
+            }
+            assertThat(another).as("seed " + seed + ": another leads").isTrue();
+            assertThat(f.broken).isEmpty();
+        }
+    }
+
     private static List<String> voteAndStartAgain(int seed, Wrong wrong) {
         SimFleet f = new SimFleet(seed, 5, 3, 2, wrong);
         f.voteAndStartAgain();
--- a/src/test/java/wingroad/rig/Rig.java
+++ b/src/test/java/wingroad/rig/Rig.java
@@ -1,7 +1,9 @@
 package wingroad.rig;
 
 import java.io.BufferedReader;
+import java.io.FileOutputStream;
 import java.io.IOException;
+import java.io.PrintStream;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -156,8 +158,11 @@
         }
 
         private void read(Process from) {
-            try (BufferedReader in = from.inputReader(StandardCharsets.UTF_8)) {
+            try (BufferedReader in = from.inputReader(StandardCharsets.UTF_8);
+                 PrintStream file = new PrintStream(new FileOutputStream(home.resolve("log").toFile(), true), true,
+                     StandardCharsets.UTF_8)) {
                 for (String line = in.readLine(); line != null; line = in.readLine()) {
+                    file.println(line);
                     if (line.contains(" serves ")) {
                         port = Integer.parseInt(line.replaceAll(".* serves [^ ]*:([0-9]+),.*", "$1"));
                     }
