--- a/src/bench/java/wingroad/fleet/OwnerBench.java
+++ b/src/bench/java/wingroad/fleet/OwnerBench.java
@@ -33,6 +33,7 @@
 public final class OwnerBench {
     private static final int LEASE_MS = 3000;
     private static final int DUTIES = 20;
+    private static final int HANDOVER_MS = 300;
     private static final java.util.regex.Pattern CHORE = java.util.regex.Pattern.compile(
         "id=chore-([^,]*)-([0-9]+)-[0-9]+,");
     /** In each of these spans the voters are left alone for the last part, and owners are stopped as planned in it. */
@@ -534,9 +535,9 @@
                             synchronized (times) {
                                 times.add(Long.parseLong(w[0]) - from);
                             }
-                            if (Long.parseLong(w[0]) - from > 1.5 * LEASE_MS) {
+                            if (Long.parseLong(w[0]) - from > (times == handovers ? HANDOVER_MS : 1.5 * LEASE_MS)) {
                                 List<?> h = (List<?>) duty.get("history");
-                                System.out.println("slow takeover of " + name + ": " + (Long.parseLong(w[0]) - from) + " ms from "
+                                System.out.println((times == handovers ? "slow hand-over of " : "slow takeover of ") + name + ": " + (Long.parseLong(w[0]) - from) + " ms from "
                                     + from + "; " + h.subList(Math.max(0, h.size() - 4), h.size()) + changes(from));
                             }
                         }
--- a/src/main/java/wingroad/cli/FleetCommand.java
+++ b/src/main/java/wingroad/cli/FleetCommand.java
@@ -232,11 +232,11 @@
     }
 
     @SuppressWarnings("unchecked")
-    private static List<Map<String, Object>> maps(Object list) {
+    static List<Map<String, Object>> maps(Object list) {
         return list instanceof List<?> l ? (List<Map<String, Object>>) l : List.of();
     }
 
-    private static String time(long unixMs) {
+    static String time(long unixMs) {
         return unixMs <= 0 ? "-" : Instant.ofEpochMilli(unixMs).truncatedTo(ChronoUnit.MILLIS).toString();
     }
 
@@ -264,7 +264,7 @@
         return p.toString();
     }
 
-    private static String text(Object value) throws IOException {
+    static String text(Object value) throws IOException {
         StringWriter w = new StringWriter();
         try (JsonGenerator g = new JsonFactory().createGenerator(w)) {
             write(g, value);
--- a/src/main/java/wingroad/cli/Wingroad.java
+++ b/src/main/java/wingroad/cli/Wingroad.java
@@ -16,7 +16,7 @@
 @Command(name = "wingroad", versionProvider = Wingroad.Version.class, mixinStandardHelpOptions = true,
     description = "Stands before groups of database members and decides where every txn goes.",
     subcommands = {Wingroad.Serve.class, Wingroad.Check.class, Wingroad.CheckConfig.class, Wingroad.Sim.class, Wingroad.Rehearse.class,
-        FleetCommand.class})
+        FleetCommand.class, WorkCommand.class})
 public final class Wingroad implements Callable<Integer> {
     private static final int UNUSABLE = 2;
 
--- a/src/main/java/wingroad/driver/ChoreDesk.java
+++ b/src/main/java/wingroad/driver/ChoreDesk.java
@@ -5,6 +5,7 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.function.Consumer;
+import wingroad.fleet.FleetRules;
 import wingroad.fleet.FleetRules.Chore;
 import wingroad.fleet.Runner;
 import wingroad.protocol.Statement;
@@ -48,6 +49,12 @@
         return longest;
     }
 
+    /** The fleet's rules with what the deployment's terms say of work on machines. */
+    static FleetRules settled(FleetRules rules, Map<String, Object> terms) {
+        return rules.with(rules.work().in(expiry(TxnType.all(terms)), (Duration) terms.get("cold"),
+            (Duration) terms.get("drain-grace")));
+    }
+
     /** The terms with one more txn type behind the clients' own, whose numbers stay. */
     static Map<String, Object> withType(Map<String, Object> terms) {
         TxnType[] types = TxnType.all(terms);
--- a/src/main/java/wingroad/driver/Driver.java
+++ b/src/main/java/wingroad/driver/Driver.java
@@ -15,10 +15,12 @@
 import java.util.concurrent.CountDownLatch;
 import sun.misc.Signal;
 import wingroad.door.FairDoor;
+import wingroad.fleet.FleetRules;
 import wingroad.operator.OperatorFile;
 import wingroad.protocol.MemberList;
 import wingroad.routing.Router;
 import wingroad.routing.TxnRouter;
+import wingroad.state.TxnType;
 import wingroad.terms.Terms;
 import wingroad.transport.Loop;
 
@@ -49,6 +51,8 @@
     private FairDoor door;
     /** The driver's part in the fleet, or null. */
     private FleetPart fleet;
+    /** The plan of work on machines at this driver, or null. */
+    private final WorkDesk work;
     private final List<String> zones;
     private final List<String> kinds;
     /** The list comes only when the module asks for it. */
@@ -82,6 +86,11 @@
         discovery = new Discovery(loop, c.discovery(), c.known().version(), tally, this::found,
             () -> exchange.router().listFailed(clock.now()));
         exchange.meet(members, discovery, clients::closeOneIdle);
+        work = operator == null || operator.fleet() == null || operator.fleet().work() == null ? null
+            : new WorkDesk(loop, clock, ChoreDesk.settled(operator.fleet(), terms), TxnType.all(terms), members, this::tell, log::line);
+        if (work != null) {
+            exchange.watch(work);
+        }
     }
 
     /** Serves until told to stop; returns the exit status where it can't begin. */
@@ -178,7 +187,8 @@
     /** Where it can't begin, clients are served all the same. */
     private void joinFleet() {
         try {
-            fleet = FleetPart.begin(operator.fleet(), loop, clock, exchange, discovery, commission, !asked, this::learn, log);
+            FleetRules rules = work == null ? operator.fleet() : ChoreDesk.settled(operator.fleet(), Terms.of(commission.settings()));
+            fleet = FleetPart.begin(rules, loop, clock, exchange, discovery, commission, !asked, this::learn, work, log);
         } catch (IOException e) {
             log.line("fleet: can't begin: " + e.getMessage());
         }
@@ -202,6 +212,11 @@
     }
 
     private void learn(MemberList list) {
+        tell(work == null ? list : work.effective(list));
+    }
+
+    /** Tells the module a list as it counts. */
+    private void tell(MemberList list) {
         Duration now = clock.now();
         Router router = exchange.router();
         router.listStarts(now, list.whole());
--- a/src/main/java/wingroad/driver/Exchange.java
+++ b/src/main/java/wingroad/driver/Exchange.java
@@ -50,6 +50,24 @@
         void fetch();
     }
 
+    /** Whoever wants to see what happens, and to look at the time before each turn; there is none unless work is planned. */
+    interface Watcher {
+        /** Before the module is asked. */
+        void look();
+
+        /** A member has said of itself. */
+        void told(long member, Member.Role role, Duration position);
+
+        /** A member gave no answer. */
+        void failed(long member);
+
+        /** A submission was at a member for so long. */
+        void took(long member, Duration took);
+
+        /** A txn has its final answer, so long after it came. */
+        void answered(int type, Duration after, boolean committed);
+    }
+
     /** One submission, or a probe where the statement is null, for a member until a time. */
     record Errand(String txn, int submission, long member, Statement statement, Duration until) {
         boolean probe() {
@@ -72,10 +90,12 @@
         final long session;
         final Asker asker;
         final Duration expiresAt;
+        final Duration arrivedAt;
         /** Its way through the door, or null where there is none. */
         Visit visit;
 
-        Open(Statement statement, int type, long session, Asker asker, Duration expiresAt) {
+        Open(Statement statement, int type, long session, Asker asker, Duration arrivedAt, Duration expiresAt) {
+            this.arrivedAt = arrivedAt;
             this.statement = statement;
             this.type = type;
             this.session = session;
@@ -92,6 +112,8 @@
     private final Map<String, Open> open = new HashMap<>();
     /** Who goes next to the module, or null: each at once. */
     private FairDoor door;
+    /** Who sees what happens, or null. */
+    private Watcher watcher;
     private Carrier carrier;
     private Lists lists;
     /** Closes an idle client's connection, where there is one. */
@@ -127,6 +149,10 @@
         }
     }
 
+    void watch(Watcher by) {
+        watcher = by;
+    }
+
     void meet(Carrier carrier, Lists lists, BooleanSupplier room) {
         this.room = room;
         this.carrier = carrier;
@@ -170,7 +196,7 @@
         if (endBy != null && now.plus(left).compareTo(endBy) > 0) {
             left = endBy.minus(now);
         }
-        Open t = new Open(s, type, session, asker, now.plus(left));
+        Open t = new Open(s, type, session, asker, now, now.plus(left));
         open.put(txn, t);
         try {
             if (!byDoor) {
@@ -212,12 +238,16 @@
     public void ended(Errand e, Submission.End end, Duration took, Told told, byte[] row) {
         Duration now = clock.now();
         report(now, e.member(), told.report());
+        if (watcher != null) {
+            watch(e.member(), end, took, told);
+        }
         Open known = open.get(e.txn());
         if (known != null && known.visit != null) {
             door.ended(now, known.visit, end, took);
         }
         Open txn = end == Submission.End.COMMITTED ? take(e.txn()) : null;
         if (txn != null) {
+            seen(txn, now, true);
             txn.asker.committed(row);
         }
         try {
@@ -240,6 +270,31 @@
         router().probeEnded(now, member, answered, took);
     }
 
+    @Override
+    public void sighted(long member, boolean answered, Report report) {
+        if (watcher != null && answered && report != null) {
+            watcher.told(member, report.role(), report.position());
+        } else if (watcher != null) {
+            watcher.failed(member);
+        }
+    }
+
+    private void watch(long member, Submission.End end, Duration took, Told told) {
+        watcher.took(member, took);
+        if (end == Submission.End.COMMITTED || told.role() != Member.Role.UNKNOWN) {
+            watcher.told(member, told.role(), told.position());
+        } else if (end != Submission.End.MOOT && end != Submission.End.CANCELLED) {
+            watcher.failed(member);
+        }
+    }
+
+    /** A client's txn has its final answer. */
+    private void seen(Open txn, Duration now, boolean committed) {
+        if (watcher != null) {
+            watcher.answered(txn.type, now.minus(txn.arrivedAt), committed);
+        }
+    }
+
     @Override
     public boolean mayStillGo(Errand e) {
         return e.probe() || open.containsKey(e.txn()) && router.mayStillGo(clock.now(), e.txn(), e.member());
@@ -253,6 +308,9 @@
     private void report(Duration now, long member, Report r) {
         try {
             if (r != null) {
+                if (watcher != null) {
+                    watcher.told(member, r.role(), r.position());
+                }
                 router().reported(now, member, r.role(), r.position(), r.held(), r.waiting(), r.busy());
             }
         } catch (RuntimeException bug) {
@@ -273,6 +331,9 @@
 
     private void pull() {
         pullAsked = false;
+        if (watcher != null) {
+            watcher.look();
+        }
         Duration now = clock.now();
         try {
             for (Decision d = nextDecision(now); d != null; d = nextDecision(now)) {
@@ -360,12 +421,14 @@
                 if (txn != null) {
                     Duration advice = txn.visit == null ? d.when() : door.advice(now, txn.visit);
                     take(d.txn());
+                    seen(txn, now, false);
                     txn.asker.declined(advice);
                 }
             }
             case ROLL_BACK -> {
                 Open txn = take(d.txn());
                 if (txn != null) {
+                    seen(txn, now, false);
                     txn.asker.rolledBack();
                 }
             }
--- a/src/main/java/wingroad/driver/FleetPart.java
+++ b/src/main/java/wingroad/driver/FleetPart.java
@@ -25,7 +25,7 @@
      * @param follows whether discovery's changes are followed; where the list is asked for, each driver asks for itself
      */
     static FleetPart begin(FleetRules rules, Loop loop, Clock clock, Exchange exchange, Discovery discovery, Commission commission,
-                           boolean follows, Consumer<MemberList> learn, Log log) throws IOException {
+                           boolean follows, Consumer<MemberList> learn, WorkDesk work, Log log) throws IOException {
         ListDesk lists = rules.listCheck() == null || !follows ? null
             : new ListDesk(loop, clock, discovery, rules, commission.known().version(), learn, log::line);
         ChoreDesk desk = new ChoreDesk(loop, exchange, Terms.of(commission.settings()));
@@ -33,11 +33,14 @@
             if (lists != null) {
                 lists.letter(epoch, m);
             }
-        });
+        }, work);
         desk.answerOn(fleet::run);
         if (lists != null) {
             lists.begin(fleet);
         }
+        if (work != null) {
+            work.begin(fleet);
+        }
         return new FleetPart(fleet, lists);
     }
 
--- a/src/main/java/wingroad/driver/Members.java
+++ b/src/main/java/wingroad/driver/Members.java
@@ -13,6 +13,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.function.LongPredicate;
+import java.util.function.Predicate;
 import wingroad.driver.Exchange.Errand;
 import wingroad.protocol.MemberList;
 import wingroad.state.Submission.End;
@@ -27,6 +28,9 @@
      */
     private static final Duration REST = Duration.ofMillis(4);
 
+    /** Stands in an errand for a submission's number where it is a probe for the plan of work. */
+    private static final int SIGHT = -2;
+
     private final Loop loop;
     private final Clock clock;
     private final Tally tally;
@@ -156,6 +160,26 @@
         }
     }
 
+    /** The id by which discovery lists it, or null where it is known no more. */
+    String uid(long member) {
+        Place p = byId.get(member);
+        return p == null ? null : p.uid;
+    }
+
+    /** Whether a txn is at one of these members, or on its way there. */
+    boolean busy(Predicate<String> uids) {
+        return byId.values().stream().filter(p -> uids.test(p.uid)).anyMatch(p -> p.links.stream().anyMatch(l ->
+            l.errand() != null && !l.errand().probe()));
+    }
+
+    /** Asks a member what it is, beside what the module asks; the answer goes to {@link Results#sighted}. */
+    void ask(String uid) {
+        Place p = byUid.get(uid);
+        if (p != null) {
+            carry(new Errand(null, SIGHT, p.id, null, clock.now().plus(connectTime)));
+        }
+    }
+
     @Override
     public void release(long member) {
         Place p = byId.get(member);
@@ -230,7 +254,9 @@
     }
 
     void answered(Errand e, Answer a, Duration took) {
-        if (e.probe()) {
+        if (e.probe() && e.submission() == SIGHT) {
+            results.sighted(e.member(), a.asked != null, a.asked);
+        } else if (e.probe()) {
             results.probed(e.member(), a.asked != null, took, a.asked != null ? a.asked : a.told.report());
         } else {
             tally.count(a.end.name());
@@ -239,7 +265,9 @@
     }
 
     void failed(Errand e, End end, Duration took, String how) {
-        if (e.probe()) {
+        if (e.probe() && e.submission() == SIGHT) {
+            results.sighted(e.member(), false, null);
+        } else if (e.probe()) {
             tally.count("probe " + how);
             results.probed(e.member(), false, took, null);
         } else {
--- a/src/main/java/wingroad/driver/Results.java
+++ b/src/main/java/wingroad/driver/Results.java
@@ -17,4 +17,7 @@
 
     /** Asks for a connection to be closed elsewhere; false where there is none to close. */
     boolean makeRoom();
+
+    /** A member that was asked for the plan of work's sake has answered, or not. */
+    void sighted(long member, boolean answered, Exchange.Report report);
 }
--- a/src/main/java/wingroad/duty/Op.java
+++ b/src/main/java/wingroad/duty/Op.java
@@ -32,7 +32,19 @@
         /** How turn {@code number} ended, in {@code to}. */
         TOLD,
         /** The driver {@code to} is to vote, at the address in {@code duty}; with none it is to vote no more. */
-        VOTER
+        VOTER,
+        /** Work: the machines that there are and the limits, in {@code duties}, by the conductor under {@code epoch}. */
+        WORK_MACHINES,
+        /** Work: the machine {@code duty} is wanted for {@code number} ms, before {@code epoch}, after {@code duties}; why in {@code to}. */
+        WORK_ASK,
+        /** Work: an operator's word {@code to} on the machine {@code duty}. */
+        WORK_WORD,
+        /** Work: the conductor's step to {@code to} for a machine that it knew at {@code number}; why in {@code duties}. */
+        WORK_STEP,
+        /** Work: what drivers say of themselves, a line each in {@code duties}. */
+        WORK_REPORTS,
+        /** Work: the driver of the identity {@code to}, lost as {@code number}, has stopped by itself, to the level {@code epoch}. */
+        WORK_STOPPED
     }
 
     private static final Op NOTHING = new Op(Kind.TERM, "", "", 0, 0, "", List.of(), Map.of(), "", 0);
@@ -77,6 +89,30 @@
         return new Op(Kind.VOTER, "", address, 0, 0, name, List.of(), Map.of(), ask, 0);
     }
 
+    public static Op workMachines(String session, long epoch, List<String> lines) {
+        return new Op(Kind.WORK_MACHINES, session, "", epoch, 0, "", List.copyOf(lines), Map.of(), "", 0);
+    }
+
+    public static Op workAsk(String machine, String why, long forMs, long before, List<String> after, String ask) {
+        return new Op(Kind.WORK_ASK, "", machine, before, forMs, why, List.copyOf(after), Map.of(), ask, 0);
+    }
+
+    public static Op workWord(String word, String machine, String ask) {
+        return new Op(Kind.WORK_WORD, "", machine, 0, 0, word, List.of(), Map.of(), ask, 0);
+    }
+
+    public static Op workStep(String session, long epoch, String machine, String to, long stageAt, String why) {
+        return new Op(Kind.WORK_STEP, session, machine, epoch, stageAt, to, List.of(why), Map.of(), "", 0);
+    }
+
+    public static Op workReports(List<String> lines) {
+        return new Op(Kind.WORK_REPORTS, "", "", 0, 0, "", List.copyOf(lines), Map.of(), "", 0);
+    }
+
+    public static Op workStopped(String identity, long number, long level) {
+        return new Op(Kind.WORK_STOPPED, "", "", level, number, identity, List.of(), Map.of(), "", 0);
+    }
+
     public Op at(long unixMs) {
         return new Op(kind, by, duty, epoch, number, to, duties, beats, ask, unixMs);
     }
--- a/src/main/java/wingroad/duty/Register.java
+++ b/src/main/java/wingroad/duty/Register.java
@@ -9,6 +9,9 @@
 import java.util.TreeMap;
 import java.util.TreeSet;
 import java.util.function.Predicate;
+import java.util.function.Supplier;
+import wingroad.work.Plan;
+import wingroad.work.WorkRules;
 
 /**
  * What the council has settled: sessions, duties, their owners and epochs. Fed with the agreed log's entries in order, it
@@ -25,6 +28,7 @@
     /** A driver that let its leases run out k times waits two to the k rounds, at most two to this. */
     private static final int LONGEST_WAIT = 10;
     private static final int LOOK_AGAIN = 16;
+    private static final String LEFT = "left";
     /** So many rounds without another loss and it is as if there had been none. */
     private static final long FORGIVEN = 4096;
 
@@ -135,9 +139,11 @@
     private final TreeMap<String, Losses> losses = new TreeMap<>();
     /** The results of the newest asks that have a name, oldest first. */
     private final ArrayDeque<String[]> answers = new ArrayDeque<>();
+    private final Plan plan = new Plan();
     private long epochs;
     private long rounds;
     private long revision;
+    private long lateOrders;
 
     /** @param first the council's first epoch is the next one */
     public Register(long first) {
@@ -159,6 +165,16 @@
         return voters;
     }
 
+    /** What is settled of the work on machines. */
+    public Plan plan() {
+        return plan;
+    }
+
+    /** How many of a conductor's orders came under an epoch that was over. */
+    public long lateOrders() {
+        return lateOrders;
+    }
+
     public Session session(String id) {
         return sessions.get(id);
     }
@@ -195,12 +211,19 @@
             case OPEN -> open(op);
             case BEAT -> beat(op);
             case EXPIRE -> expire(op);
-            case LEAVE -> end(op.by(), "left", op.wall());
+            case LEAVE -> end(op.by(), LEFT, op.wall());
             case GIVE_UP -> giveUp(op);
             case HAND_OVER -> handOver(op);
             case TURN -> turn(op);
             case TOLD -> told(op);
             case VOTER -> voter(op);
+            case WORK_MACHINES -> ordered(op, () -> plan.inventory(op.duties()));
+            case WORK_ASK -> plan.ask(op.duty(), op.ask(), op.to(), op.number(), op.epoch(), op.duties(), op.wall());
+            case WORK_WORD -> plan.word(op.to(), op.duty(), op.wall());
+            case WORK_STEP -> ordered(op, () -> plan.step(op.duty(), op.to(), op.number(), op.duties().get(0),
+                idle(op.duty()), op.wall()));
+            case WORK_REPORTS -> plan.reports(op.duties());
+            case WORK_STOPPED -> plan.stopped(op.to(), op.number(), op.epoch());
         };
         if (!op.ask().isEmpty()) {
             answers.add(new String[] {op.ask(), result});
@@ -209,12 +232,28 @@
             }
         }
         // Beats are most of all ops, and change who has what only where somebody's wait has ended.
-        if (op.kind() != Op.Kind.BEAT || rounds % LOOK_AGAIN == 0) {
+        if (op.kind() != Op.Kind.BEAT && op.kind() != Op.Kind.WORK_REPORTS || rounds % LOOK_AGAIN == 0) {
             give(op.wall());
         }
         return result;
     }
 
+    /** An order of the conductor's: only under the epoch that is in force. */
+    private String ordered(Op op, Supplier<String> what) {
+        Duty d = duties.get(WorkRules.CONDUCTOR);
+        if (d == null || d.epoch != op.epoch() || !d.owner.equals(op.by())) {
+            lateOrders++;
+            return "not the conductor under epoch " + op.epoch();
+        }
+        return what.get();
+    }
+
+    /** Whether no driver on the machine owns a duty. */
+    private boolean idle(String machine) {
+        return !plan.machines().containsKey(machine) || duties.values().stream().noneMatch(d -> !d.owner.isEmpty()
+            && plan.machines().get(machine).drivers().contains(driver(d.owner)));
+    }
+
     private String open(Op op) {
         if (sessions.containsKey(op.by())) {
             return "";
@@ -233,6 +272,7 @@
             return "there are " + MOST_SESSIONS + " sessions already";
         }
         sessions.put(op.by(), new Session(op.by(), op.to(), op.duties(), 0, op.wall()));
+        plan.opened(op.by(), op.to(), name);
         for (String d : op.duties()) {
             if (duties.size() < MOST_DUTIES) {
                 duties.computeIfAbsent(d, Duty::new);
@@ -272,6 +312,7 @@
 
     private String end(String id, String how, long wall) {
         if (sessions.remove(id) != null) {
+            plan.ended(id, how.equals(LEFT));
             for (Duty d : duties.values()) {
                 if (d.owner.equals(id)) {
                     free(d, how, wall);
@@ -396,6 +437,18 @@
             }
         }
         load.forEach((s, n) -> spread(s, n - cap));
+        leaveMachines();
+    }
+
+    /** Whoever is on a machine that drains is asked for all that it has, where somebody else would do it. */
+    private void leaveMachines() {
+        for (Duty d : duties.values()) {
+            if (!d.owner.isEmpty() && d.wanted.isEmpty() && plan.leaves(driver(d.owner)) && sessions.values().stream()
+                .anyMatch(s -> !s.id.equals(d.owner) && s.duties.contains(d.name) && !plan.leaves(s.name()))) {
+                d.wanted = "*";
+                d.revision = revision;
+            }
+        }
     }
 
     private Session next(Duty d, Map<String, Integer> load, int cap) {
@@ -409,6 +462,7 @@
             }
         }
         // Each of these only where it leaves somebody: better a driver that loses it again than nobody.
+        keep(may, s -> !plan.leaves(s.name()));
         keep(may, s -> !d.wanted.equals("*") || !s.id.equals(d.left));
         keep(may, s -> !waits(s.name()));
         keep(may, s -> load.get(s.id) < cap);
@@ -460,6 +514,8 @@
         losses.forEach((n, l) -> lost.add(List.of(n, (long) l.count, l.until, l.last)));
         all.put("losses", lost);
         all.put("voters", new TreeMap<>(voters));
+        all.put("late-orders", lateOrders);
+        all.put("work", plan.whole());
         all.put("answers", answers.stream().map(a -> List.of(a[0], a[1])).toList());
         return all;
     }
@@ -501,6 +557,11 @@
         }
         voters.clear();
         ((Map<?, ?>) all.get("voters")).forEach((n, a) -> voters.put((String) n, (String) a));
+        lateOrders = all.get("late-orders") instanceof Number n ? n.longValue() : 0;
+        plan.become(all.get("work"));
+        if (all.get("work") == null) {
+            sessions.values().forEach(s -> plan.opened(s.id, s.identity, s.name()));
+        }
         for (List<?> a : lists(all.get("answers"))) {
             answers.add(new String[] {(String) a.get(0), (String) a.get(1)});
         }
--- a/src/main/java/wingroad/fleet/Attendant.java
+++ b/src/main/java/wingroad/fleet/Attendant.java
@@ -13,6 +13,8 @@
 import wingroad.duty.Tenure;
 import wingroad.fleet.Net.Wire;
 import wingroad.protocol.Json;
+import wingroad.work.Report;
+import wingroad.work.WorkRules;
 
 /**
  * A driver's side of the fleet: its session with the council by way of one voter, and another one when that falls silent.
@@ -20,6 +22,8 @@
  */
 final class Attendant implements Net.Owner {
     private static final Duration REFUSED_AGAIN = Duration.ofSeconds(2);
+    /** A report is said again with each of so many beats: the one before may not have got through. */
+    private static final int REPORT_BEATS = 4;
 
     /** Who does the duties. */
     interface Doer {
@@ -56,6 +60,12 @@
     private String refusal = "";
     private boolean hadLease;
     private boolean hurried;
+    /** Who acts on the plan of work, or null. */
+    private Worker worker;
+    /** The register's revision that the plan is known of; an older voter's word on it counts for nothing. */
+    private long planOf = -1;
+    private Report report;
+    private int reportIn;
 
     /**
      * @param identity of the state folder
@@ -80,6 +90,41 @@
         tenure = tenures.apply(rules.driver() + "/" + runs.get());
     }
 
+    void work(Worker with) {
+        worker = with;
+    }
+
+    /** What this driver says of itself from now on: at once where it says more than new figures. */
+    void report(Report now) {
+        boolean news = report == null || now.differs(report);
+        report = now;
+        if (news) {
+            sendReport();
+        }
+    }
+
+    private void sendReport() {
+        if (up && opened && report != null) {
+            reportIn = REPORT_BEATS;
+            wire.send(Words.letter("report", "line", report.line(tenure.session())));
+        }
+    }
+
+    /** An order of the conductor's, if this driver conducts under this epoch now. */
+    void order(long epoch, Function<String, Op> op) {
+        if (tenure.mayAct(WorkRules.CONDUCTOR, epoch, host.now())) {
+            send(op.apply(tenure.session()));
+        }
+    }
+
+    private void tellWorker() {
+        if (worker != null) {
+            Tenure.Held h = tenure.known(WorkRules.CONDUCTOR);
+            boolean conducts = h != null && tenure.mayAct(h.duty(), h.epoch(), host.now());
+            worker.lease(tenure.until(), !tenure.isOpen(), conducts ? h.epoch() : 0);
+        }
+    }
+
     void start(Doer work) {
         doer = work;
         heardAt = host.now();
@@ -106,6 +151,7 @@
         leaving = true;
         left = then;
         tenure.ended();
+        tellWorker();
         asks.clear();
         send(Op.leave(tenure.session()));
     }
@@ -164,6 +210,9 @@
             }
             wire.send(Words.letter("beat", "n", tenure.beat(host.now())));
             asks.values().forEach(this::send);
+            if (--reportIn <= 0) {
+                sendReport();
+            }
         }
     }
 
@@ -240,6 +289,13 @@
         switch (Words.text(m, "k")) {
             case "here" -> voters(m.get("voters"));
             case "settled" -> settled(m);
+            case "plan" -> {
+                if (worker != null && Words.number(m, "of") >= planOf) {
+                    planOf = Words.number(m, "of");
+                    worker.plan(Json.object(m.get("news"), "the plan"), m.get("sums") instanceof List<?> l ? l : null,
+                        m.get("live") instanceof List<?> l ? l : null);
+                }
+            }
             case "refused" -> {
                 refused(order.get(at) + ": " + Words.text(m, "why"));
                 next();
@@ -295,6 +351,7 @@
             begin();
         }
         tellLease(host.now());
+        tellWorker();
         giveBack();
         doer.look();
     }
@@ -303,6 +360,7 @@
     private void begin() {
         Tenure old = tenure;
         old.ended();
+        tellWorker();
         asks.clear();
         opened = false;
         tenure = tenures.apply(rules.driver() + "/" + runs.get());
--- a/src/main/java/wingroad/fleet/Fleet.java
+++ b/src/main/java/wingroad/fleet/Fleet.java
@@ -3,12 +3,16 @@
 import java.io.IOException;
 import java.security.SecureRandom;
 import java.time.Duration;
+import java.util.List;
 import java.util.Map;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
+import wingroad.duty.Op;
 import wingroad.duty.Tenure;
 import wingroad.transport.Door;
 import wingroad.transport.Loop;
+import wingroad.work.Conductor;
+import wingroad.work.Report;
 
 /**
  * A driver's part in the fleet, on a thread of its own: the voter's seat where it has one, its session, its duties. What goes
@@ -24,6 +28,7 @@
     private final Consumer<String> log;
     private final Runner runner;
     private final News news;
+    private final Worker worker;
     private final Loop loop;
     private final LoopNet net;
     private final Here here = new Here();
@@ -64,8 +69,9 @@
         }
     }
 
-    private Fleet(FleetRules rules, Consumer<String> log, Consumer<Throwable> bug, Runner runner, News news)
+    private Fleet(FleetRules rules, Consumer<String> log, Consumer<Throwable> bug, Runner runner, News news, Worker worker)
             throws IOException {
+        this.worker = worker;
         this.rules = rules;
         this.log = log;
         this.runner = runner;
@@ -74,10 +80,10 @@
         net = new LoopNet(loop);
     }
 
-    /** Begins on a thread of its own; {@code runner} and {@code news} are called on that thread. */
-    public static Fleet begin(FleetRules rules, Consumer<String> log, Consumer<Throwable> bug, Runner runner, News news)
-            throws IOException {
-        Fleet f = new Fleet(rules, log, bug, runner, news);
+    /** Begins on a thread of its own; {@code runner}, {@code news} and {@code worker} (or null) are called on that thread. */
+    public static Fleet begin(FleetRules rules, Consumer<String> log, Consumer<Throwable> bug, Runner runner, News news,
+                              Worker worker) throws IOException {
+        Fleet f = new Fleet(rules, log, bug, runner, news, worker);
         f.loop.run(f::enter);
         return f;
     }
@@ -96,6 +102,33 @@
         });
     }
 
+    /** What this driver says of itself to whoever plans work. */
+    public void report(Report what) {
+        loop.run(() -> {
+            if (attendant != null) {
+                attendant.report(what);
+            }
+        });
+    }
+
+    /** Proposes the conductor's steps, if this driver still conducts under this epoch. */
+    public void order(long epoch, List<Conductor.Step> steps) {
+        loop.run(() -> {
+            if (attendant != null) {
+                steps.forEach(x -> attendant.order(epoch, s -> Op.workStep(s, epoch, x.machine(), x.to(), x.stageAt(), x.why())));
+            }
+        });
+    }
+
+    /** Proposes the machines that there are, likewise. */
+    public void orderMachines(long epoch, List<String> lines) {
+        loop.run(() -> {
+            if (attendant != null) {
+                attendant.order(epoch, s -> Op.workMachines(s, epoch, lines));
+            }
+        });
+    }
+
     /** Runs a task on the fleet's thread. */
     public void run(Runnable task) {
         loop.run(task);
@@ -118,6 +151,7 @@
             }
             attendant = new Attendant(here, net, rules, identity, names, s -> new Tenure(rules.lease(), s),
                 news);
+            attendant.work(worker);
             attendant.start(new Chores(here, rules, attendant, runner));
             log.accept("fleet: driver " + rules.driver() + " of fleet " + rules.name() + ", " + (rules.listen() == null
                 ? "no voter" : "listens at " + door.at().getHostString() + ":" + door.at().getPort()) + ", lease " + rules.lease().held().toMillis() + " ms, "
--- a/src/main/java/wingroad/fleet/FleetClient.java
+++ b/src/main/java/wingroad/fleet/FleetClient.java
@@ -76,6 +76,19 @@
         return Words.text(await("answer"), "result");
     }
 
+    /** Asks for a machine; the answer once it is settled: empty, or why it can't be had. Safe to repeat under the same name. */
+    public String workAsk(String machine, String why, long forMs, long before, java.util.List<String> after, String ask)
+            throws IOException {
+        send(Words.letter("ask", "op", Words.of(Op.workAsk(machine, why, forMs, before, after, ask))));
+        return Words.text(await("answer"), "result");
+    }
+
+    /** Says a word on a machine, or on all as "*"; the answer as for an ask. */
+    public String workWord(String word, String machine, String ask) throws IOException {
+        send(Words.letter("ask", "op", Words.of(Op.workWord(word, machine, ask))));
+        return Words.text(await("answer"), "result");
+    }
+
     @Override
     public void close() throws IOException {
         socket.close();
--- a/src/main/java/wingroad/fleet/FleetRules.java
+++ b/src/main/java/wingroad/fleet/FleetRules.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import wingroad.duty.Lease;
+import wingroad.work.WorkRules;
 
 /**
  * What the operator's file says of the fleet.
@@ -17,12 +18,19 @@
  * @param state   the folder for what must outlive the process
  * @param chores  statements that one driver runs for all
  * @param listCheck how often a driver asks discovery that goes by the list's owner, or null: each asks for itself
+ * @param work    machines that may be taken out for work, or null: none are
  */
 public record FleetRules(String name, String driver, String listen, Map<String, String> voters, Path state, Lease lease,
-                         List<Chore> chores, Duration listCheck) {
+                         List<Chore> chores, Duration listCheck, WorkRules work) {
     /** The duty of asking discovery for all. */
     public static final String LIST = "list";
 
+    /** The same without work on machines. */
+    public FleetRules(String name, String driver, String listen, Map<String, String> voters, Path state, Lease lease,
+                      List<Chore> chores, Duration listCheck) {
+        this(name, driver, listen, voters, state, lease, chores, listCheck, null);
+    }
+
     /** A statement for the primary of a group, once in each span. */
     public record Chore(String name, Duration every, int group, String statement) {
         /** The duty that stands for it. */
@@ -37,11 +45,19 @@
         if (listCheck != null) {
             all.add(LIST);
         }
+        if (work != null) {
+            all.add(WorkRules.CONDUCTOR);
+        }
         return all;
     }
 
     /** The same for a driver of this name where the file gives it none. */
     public FleetRules named(String name) {
-        return driver.isEmpty() ? new FleetRules(this.name, name, listen, voters, state, lease, chores, listCheck) : this;
+        return driver.isEmpty() ? new FleetRules(this.name, name, listen, voters, state, lease, chores, listCheck, work) : this;
+    }
+
+    /** The same with these rules of work. */
+    public FleetRules with(WorkRules of) {
+        return new FleetRules(name, driver, listen, voters, state, lease, chores, listCheck, of);
     }
 }
--- a/src/main/java/wingroad/fleet/Seat.java
+++ b/src/main/java/wingroad/fleet/Seat.java
@@ -38,6 +38,9 @@
 import wingroad.fleet.Net.Wire;
 import wingroad.fleet.Words.Endpoint;
 import wingroad.protocol.Json;
+import wingroad.work.Plan;
+import wingroad.work.Strays;
+import wingroad.work.WorkRules;
 
 /**
  * A voter: its part in the agreed log, the state that follows from it, and the drivers that are attached to it. Free of
@@ -60,6 +63,7 @@
     private static final Duration AGAIN = Duration.ofSeconds(5);
     private static final int MOST_GUESTS = 1024;
     private static final int MOST_ENDS = 64;
+    private static final int LONGEST_REPORT = 1 << 16;
 
     /** How far a voter has come. */
     enum Phase {
@@ -88,6 +92,10 @@
     private final Map<String, Peer> peers = new TreeMap<>();
     private final Set<Guest> guests = new LinkedHashSet<>();
     private final Map<String, Long> beats = new TreeMap<>();
+    /** The newest that drivers say of themselves, a line by session, not yet handed on. */
+    private final Map<String, String> reports = new TreeMap<>();
+    /** The clock on drivers without a session, or null where there is no work on machines. */
+    private final Strays strays;
     private final Set<String> founding = new LinkedHashSet<>();
     private boolean pushAsked;
     private boolean changing;
@@ -106,6 +114,7 @@
         this.keep = reader.read();
         this.random = new Random(seed);
         this.overdue = new Overdue(rules.lease());
+        this.strays = rules.work() == null ? null : new Strays(rules.work(), rules.lease().drift());
     }
 
     void start() {
@@ -477,8 +486,18 @@
                 if (!beats.isEmpty()) {
                     submit(Op.beat(beats).at(host.wall()));
                 }
+                if (!reports.isEmpty()) {
+                    submit(Op.workReports(List.copyOf(reports.values())).at(host.wall()));
+                }
                 overdue.ends(host.now()).stream().limit(MOST_ENDS).forEach(op -> submit(op.at(host.wall())));
+                if (strays != null) {
+                    strays.stopped(register.plan(), host.now()).stream().limit(MOST_ENDS).forEach(x ->
+                        submit(Op.workStopped(x.identity(), x.number(), x.level()).at(host.wall())));
+                }
             } else {
+                if (!reports.isEmpty()) {
+                    toLeader(Words.letter("reports", "lines", List.copyOf(reports.values())));
+                }
                 if (!beats.isEmpty()) {
                     toLeader(Words.letter("beats", "beats", new TreeMap<>(beats)));
                 }
@@ -489,11 +508,12 @@
         }
         // What did not get through comes again with the drivers' next beats.
         beats.clear();
+        reports.clear();
         host.after(rules.lease().beat().dividedBy(2), this::tick);
     }
 
     private void settled(Op op, String result) {
-        overdue.look(register, host.now());
+        lookAtSessions();
         if (!result.isEmpty() && op.kind() == Op.Kind.OPEN) {
             guests.stream().filter(g -> g.session.equals(op.by())).toList()
                 .forEach(g -> g.wire.send(Words.letter("not-opened", "why", result)));
@@ -505,6 +525,13 @@
         askPush();
     }
 
+    private void lookAtSessions() {
+        overdue.look(register, host.now());
+        if (strays != null) {
+            strays.look(register.plan(), host.now());
+        }
+    }
+
     private void askPush() {
         if (!pushAsked) {
             pushAsked = true;
@@ -543,7 +570,7 @@
         public void installSnapshot(long index, List<Object> chunks) {
             if (mine == life) {
                 register.become(Json.object(chunks.get(0), "a snapshot"));
-                overdue.look(register, host.now());
+                lookAtSessions();
                 askPush();
             }
         }
@@ -760,6 +787,10 @@
         private long sentRevision = -1;
         private long sentBeat = -1;
         private boolean sentOpen;
+        /** Up to which change of the plan it has been told; whether it has been told at all. */
+        private long sentWork;
+        private boolean toldWork;
+        private List<Object> sentSums = List.of();
         private final Set<String> asks = new LinkedHashSet<>();
 
         @Override
@@ -839,6 +870,7 @@
                 }
                 case "news" -> spread(m);
                 case "beats" -> Words.beats(m.get("beats")).forEach((s, n) -> beats.merge(s, n, Math::max));
+                case "reports" -> Words.texts(m.get("lines")).forEach(this::report);
                 case "found" -> {
                     List<String> members = Words.texts(m.get("members"));
                     if (phase == Phase.FRESH && members.contains(self().id())) {
@@ -858,6 +890,12 @@
             }
         }
 
+        private void report(String line) {
+            if (line.indexOf(' ') > 0 && line.length() <= LONGEST_REPORT) {
+                reports.put(line.substring(0, line.indexOf(' ')), line);
+            }
+        }
+
         /** To all drivers that are attached here, but for the one that it came from. */
         private void spread(Map<String, Object> letter) {
             guests.stream().filter(g -> g != this && !g.session.isEmpty()).toList().forEach(g -> g.wire.send(letter));
@@ -885,13 +923,19 @@
                         beats.merge(session, Words.number(m, "n"), Math::max);
                     }
                 }
+                case "report" -> {
+                    if (Words.text(m, "line").startsWith(session + " ")) {
+                        report(Words.text(m, "line"));
+                    }
+                }
                 case "ask" -> {
                     Op op = Words.op(Json.object(m.get("op"), "an op"));
                     boolean own = op.by().equals(session) && !session.isEmpty();
                     String wrong = op.kind() == Op.Kind.VOTER ? whyNot(op) : "";
                     if (!wrong.isEmpty()) {
                         wire.send(Words.letter("answer", "ask", op.ask(), "result", wrong));
-                    } else if (own || op.kind() == Op.Kind.HAND_OVER || op.kind() == Op.Kind.VOTER) {
+                    } else if (own || op.kind() == Op.Kind.HAND_OVER || op.kind() == Op.Kind.VOTER
+                        || op.kind() == Op.Kind.WORK_ASK || op.kind() == Op.Kind.WORK_WORD) {
                         if (!op.ask().isEmpty()) {
                             asks.add(op.ask());
                         }
@@ -913,6 +957,8 @@
                     session = name + "/" + Words.text(m, "run");
                     sentRevision = -1;
                     sentBeat = -1;
+                    sentWork = 0;
+                    toldWork = false;
                     push();
                 }
                 case "status" -> wire.send(Words.letter("status", "status", status()));
@@ -938,12 +984,37 @@
             return op.duty().isEmpty() && !now.contains(op.to()) ? "'" + op.to() + "' does not vote" : "";
         }
 
+        /** The plan goes before the beat that renews the lease on it: both come in one order. */
+        private void pushWork() {
+            Plan plan = register.plan();
+            Register.Duty d = register.duty(WorkRules.CONDUCTOR);
+            if (d == null) {
+                // Nobody's file says anything of work.
+                return;
+            }
+            boolean conducts = d.owner().equals(session);
+            List<Object> sums = conducts ? plan.sums() : sentSums;
+            if (!toldWork || plan.changes() > sentWork || !sums.equals(sentSums)) {
+                Map<String, Object> m = Words.letter("plan", "news", plan.news(toldWork ? sentWork : 0), "of",
+                    register.revision());
+                if (conducts) {
+                    m.put("sums", sums);
+                    m.put("live", register.sessions().stream().map(Register.Session::name).toList());
+                }
+                wire.send(m);
+                toldWork = true;
+                sentWork = plan.changes();
+                sentSums = sums;
+            }
+        }
+
         /** Tells what is settled and not told yet. */
         private void push() {
             if (session.isEmpty() || node == null) {
                 return;
             }
             Register.Session s = register.session(session);
+            pushWork();
             List<Object> duties = new ArrayList<>();
             for (Register.Duty d : register.duties()) {
                 if (d.revision() > sentRevision) {
@@ -984,6 +1055,14 @@
         all.put("duties", register.duties().stream().map(d -> Words.letter("duty", "name", d.name(), "owner",
             Register.driver(d.owner()), "epoch", d.epoch(), "since", d.since(), "turn", d.turn(), "outcome", d.outcome(),
             "wanted", d.wanted(), "history", List.copyOf(d.history()))).toList());
+        if (register.duty(WorkRules.CONDUCTOR) != null) {
+            Plan plan = register.plan();
+            all.put("work", Words.letter("work", "held", plan.held(), "late-orders", register.lateOrders(), "machines",
+                plan.machines().values().stream().map(m -> Words.letter("machine", "name", m.name(), "zone", m.zone(), "drivers",
+                    m.drivers(), "members", m.parts().stream().map(p -> p.uid() + "#" + p.group()).toList())).toList(),
+                "entries", plan.entries().stream().map(e -> e.page(plan.waitsFor(e))).toList(), "astray",
+                plan.astray().stream().map(Plan.Astray::name).toList(), "history", List.copyOf(plan.history())));
+        }
         return all;
     }
 }
--- /dev/null
+++ b/src/main/java/wingroad/fleet/Worker.java
@@ -0,0 +1,26 @@
+package wingroad.fleet;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.Map;
+
+/** Who acts on the plan of work on machines at a driver. Called on the fleet's thread, in order. */
+public interface Worker {
+    /**
+     * Something of the plan is settled.
+     *
+     * @param news for {@link wingroad.work.Picture#news}
+     * @param sums the fleet's figures where this driver conducts, else null
+     * @param live the drivers with a session, likewise
+     */
+    void plan(Map<String, Object> news, List<?> sums, List<?> live);
+
+    /**
+     * How long what was told last holds.
+     *
+     * @param until    on the monotone clock
+     * @param over     the session has ended: nothing holds any more
+     * @param conducts the epoch under which this driver conducts the work, or 0
+     */
+    void lease(Duration until, boolean over, long conducts);
+}
--- a/src/main/java/wingroad/operator/FleetSection.java
+++ b/src/main/java/wingroad/operator/FleetSection.java
@@ -16,6 +16,7 @@
 import wingroad.kdl.Node;
 import wingroad.kdl.Value;
 import wingroad.protocol.MemberList;
+import wingroad.work.WorkRules;
 
 /** The node {@code fleet} of the operator's file. */
 final class FleetSection {
@@ -44,9 +45,14 @@
         Map<String, String> voters = new LinkedHashMap<>();
         List<Chore> chores = new ArrayList<>();
         Duration listCheck = null;
-        Set<String> once = Set.of("driver", "listen", "state", "lease-ms", "drift", "trusted-network", "list");
+        WorkRules work = null;
+        Set<String> once = Set.of("driver", "listen", "state", "lease-ms", "drift", "trusted-network", "list", "work");
         for (Section s : fleet.within(Set.of("driver", "listen", "voter", "state", "lease-ms", "drift", "trusted-network",
-            "chore", "list"), once)) {
+            "chore", "list", "work"), once)) {
+            if (s.name().equals("work")) {
+                work = WorkSection.read(s);
+                continue;
+            }
             switch (s.name()) {
                 case "driver" -> driver = named(s, "this driver's name");
                 case "listen" -> listen = address(s, "the address to listen at");
@@ -82,7 +88,7 @@
             fleet.problem("an address that is not loopback needs trusted-network #true: drivers' messages are not signed");
         }
         return new FleetRules(name, driver, listen, voters, Path.of(state == null ? "." : state),
-            new Lease(Duration.ofMillis(lease), drift), List.copyOf(chores), listCheck);
+            new Lease(Duration.ofMillis(lease), drift), List.copyOf(chores), listCheck, work);
     }
 
     private static String named(Section s, String what) {
@@ -154,6 +160,9 @@
             p.put("statement", value(c.statement()));
             within.add(node("chore", List.of(value(c.name())), p));
         }
+        if (f.work() != null) {
+            within.add(WorkSection.whole(f.work()));
+        }
         return new Node("fleet", List.of(value(f.name())), Map.of(), within);
     }
 }
--- /dev/null
+++ b/src/main/java/wingroad/work/Conductor.java
@@ -0,0 +1,299 @@
+package wingroad.work;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+
+/**
+ * The work's conductor: what the next steps are, from what is settled and from what its driver has seen of the members. It only
+ * proposes; the log refuses what breaks a limit, and whatever comes under an older epoch. No I/O; the clock is handed in.
+ */
+public final class Conductor {
+    /** A member may have this part of its room in use once another one of its group is away. */
+    private static final double MOST_USE = 0.8;
+    /** A machine that was put back for harm is looked at again after so many times the watched span. */
+    private static final int REST = 3;
+
+    /** A step to be settled; {@code to} is a stage's name, "IN" or "note". */
+    public record Step(String machine, String to, long stageAt, String why) {
+    }
+
+    private final WorkRules rules;
+    private final Pace pace;
+    private final Collection<String> voters;
+    private final Map<String, Duration> returningSince = new TreeMap<>();
+    private final Map<String, Duration> unfitSince = new HashMap<>();
+    private final Map<String, Duration> restUntil = new HashMap<>();
+    private final Map<String, String> pages = new HashMap<>();
+    private final Map<Integer, Long> busyBefore = new TreeMap<>();
+    private final Map<Integer, Double> use = new TreeMap<>();
+    private Duration busyAt;
+    /** Machines that are out, and when the last one was seen to have become so. */
+    private Set<String> outs = Set.of();
+    private Duration outAt;
+
+    /** @param voters who decides in the council: never more of them away than a majority can spare */
+    public Conductor(WorkRules rules, Collection<String> voters) {
+        this.rules = rules;
+        this.voters = voters;
+        pace = new Pace(rules.watch(), rules.harm());
+    }
+
+    /** Lines that somebody should be woken up for, each once: machine to text. */
+    public Map<String, String> pages() {
+        Map<String, String> all = new TreeMap<>(pages);
+        pages.clear();
+        return all;
+    }
+
+    /** The steps that are next; asked again and again until they are seen settled. */
+    public List<Step> next(Picture plan, Sight sight, long wall, Duration now) {
+        List<Step> steps = new ArrayList<>();
+        List<Plan.Entry> all = new ArrayList<>(plan.entries());
+        boolean atWork = all.stream().anyMatch(e -> e.stage == Stage.DRAINING || e.stage == Stage.OUT || e.stage == Stage.RETURNING);
+        pace.figures(plan.served(), plan.harmed(), atWork, now);
+        uses(plan, now);
+        Set<String> out = new HashSet<>();
+        all.stream().filter(e -> e.stage == Stage.OUT).forEach(e -> out.add(e.machine));
+        if (!outs.containsAll(out)) {
+            outAt = now;
+        }
+        outs = out;
+        returningSince.keySet().removeIf(m -> plan.entry(m) == null || plan.entry(m).stage != Stage.RETURNING);
+        restUntil.values().removeIf(t -> now.compareTo(t) >= 0);
+        for (Plan.Entry e : all) {
+            Machine m = plan.machines().get(e.machine);
+            if (m != null) {
+                switch (e.stage) {
+                    case PLANNED -> planned(e, m, plan, sight, now, steps);
+                    case DRAINING -> draining(e, m, sight, now, steps);
+                    case OUT -> out(e, m, sight, wall, now, steps);
+                    case RETURNING -> returning(e, m, sight, now, steps);
+                    default -> {
+                        // in its turn
+                    }
+                }
+            }
+        }
+        if (!plan.held()) {
+            begin(all, plan, sight, now, steps);
+        }
+        return steps;
+    }
+
+    /** How many txns are at members of each group at a time, from the fleet's sums. */
+    private void uses(Picture plan, Duration now) {
+        if (busyAt != null && now.minus(busyAt).compareTo(rules.watch().dividedBy(4)) < 0) {
+            return;
+        }
+        if (busyAt != null) {
+            double span = Math.max(1, now.minus(busyAt).toMillis());
+            plan.busy().forEach((g, ms) -> {
+                if (busyBefore.containsKey(g) && ms >= busyBefore.get(g)) {
+                    use.put(g, (ms - busyBefore.get(g)) / span);
+                }
+            });
+        }
+        busyAt = now;
+        busyBefore.clear();
+        busyBefore.putAll(plan.busy());
+        use.keySet().retainAll(plan.busy().keySet());
+    }
+
+    private void planned(Plan.Entry e, Machine m, Picture plan, Sight sight, Duration now, List<Step> steps) {
+        if (!e.known) {
+            return;
+        }
+        String not = whyNotDrain(e, m, plan, sight, now);
+        if (not.isEmpty()) {
+            steps.add(new Step(e.machine, Stage.DRAINING.name(), e.stageAt, "everybody knows of it"));
+        } else {
+            note(e, not, steps);
+        }
+    }
+
+    /** Why a machine can't be spared now, or empty. */
+    private String whyNotDrain(Plan.Entry e, Machine m, Picture plan, Sight sight, Duration now) {
+        if (!pace.calm(now) || outAt != null && now.minus(outAt).compareTo(rules.watch()) < 0) {
+            return "watches for harm: " + part(pace.part()) + " of the txns, before " + part(pace.before());
+        }
+        String others = othersUnfit(m, sight, now);
+        if (!others.isEmpty()) {
+            return others;
+        }
+        for (int g : m.groups()) {
+            String primary = sight.primary(g, now);
+            if (primary == null) {
+                return "no primary of group " + g + " is seen";
+            }
+            if (m.holds(primary)) {
+                return "the primary of group " + g + " is here: to be moved to " + couldLead(m, g, sight, now);
+            }
+            List<String> left = left(m, g, sight, now);
+            double room = rules.room() * left.size() * MOST_USE;
+            if (rules.room() > 0 && use.getOrDefault(g, 0.0) > room) {
+                return String.format(Locale.ROOT, "group %d has %.1f txns at work, room for %.1f without it", g, use.get(g), room);
+            }
+        }
+        if (!e.unbelieved) {
+            return "some driver still takes a member here for a primary";
+        }
+        long gone = voters.stream().filter(v -> !plan.live().contains(v) || m.drivers().contains(v)
+            || plan.entries().stream().anyMatch(o -> o.stage.announced() && o != e && plan.machines().containsKey(o.machine)
+            && plan.machines().get(o.machine).drivers().contains(v))).count();
+        if (m.drivers().stream().anyMatch(voters::contains) && gone > (voters.size() - 1) / 2) {
+            return "a voter is on it, and " + (gone - 1) + " of " + voters.size() + " are away";
+        }
+        return "";
+    }
+
+    private static String part(double p) {
+        return p < 0 ? "too few to say" : String.format(Locale.ROOT, "%.1f%%", p * 100);
+    }
+
+    /** The fit members of a group that are on other machines. */
+    private List<String> left(Machine m, int group, Sight sight, Duration now) {
+        return sight.of(group).stream().filter(u -> !m.holds(u) && sight.fit(u, now)).toList();
+    }
+
+    private String couldLead(Machine m, int group, Sight sight, Duration now) {
+        List<String> fit = left(m, group, sight, now).stream().filter(u -> sight.behind(u, now) != null
+            && sight.behind(u, now).compareTo(rules.lag()) <= 0).toList();
+        return fit.isEmpty() ? "none that is fit and close on the log" : String.join(" or ", fit);
+    }
+
+    /** What of its groups' others is not fit, or empty: one that fails by itself counts as away. */
+    private String othersUnfit(Machine m, Sight sight, Duration now) {
+        for (int g : m.groups()) {
+            for (String u : sight.of(g)) {
+                if (!m.holds(u) && !sight.fit(u, now)) {
+                    return "group " + g + ": " + u + " is not fit";
+                }
+            }
+            if (left(m, g, sight, now).isEmpty()) {
+                return "group " + g + " has no other member that is seen";
+            }
+        }
+        return "";
+    }
+
+    private void draining(Plan.Entry e, Machine m, Sight sight, Duration now, List<Step> steps) {
+        String others = lasting(e.machine, othersUnfit(m, sight, now), now);
+        if (!others.isEmpty() || pace.harms(now)) {
+            restUntil.put(e.machine, now.plus(rules.watch().multipliedBy(REST)));
+            steps.add(new Step(e.machine, Stage.ASKED.name(), e.stageAt, "put back: " + (others.isEmpty()
+                ? part(pace.part()) + " of the txns harmed, before " + part(pace.before()) : others)));
+        } else if (e.clear) {
+            steps.add(new Step(e.machine, Stage.OUT.name(), e.stageAt, "nothing of anybody's is there"));
+        }
+    }
+
+    /** Only what is seen for a while: a single probe may go astray. */
+    private String lasting(String machine, String what, Duration now) {
+        if (what.isEmpty()) {
+            unfitSince.remove(machine);
+            return "";
+        }
+        Duration since = unfitSince.computeIfAbsent(machine, k -> now);
+        return now.minus(since).compareTo(rules.watch().dividedBy(2)) >= 0 ? what : "";
+    }
+
+    private void out(Plan.Entry e, Machine m, Sight sight, long wall, Duration now, List<Step> steps) {
+        String others = lasting(e.machine, othersUnfit(m, sight, now), now);
+        if (!others.isEmpty()) {
+            note(e, "PAGE: wanted back: " + others, steps);
+        } else if (e.forMs > 0 && wall - e.outSince > e.forMs) {
+            note(e, "PAGE: out for longer than " + e.forMs / 1000 + " s", steps);
+        } else {
+            note(e, "work on it", steps);
+        }
+    }
+
+    private void returning(Plan.Entry e, Machine m, Sight sight, Duration now, List<Step> steps) {
+        Duration since = returningSince.computeIfAbsent(e.machine, k -> now);
+        for (int g : m.groups()) {
+            List<String> here = sight.of(g).stream().filter(m::holds).toList();
+            if (here.isEmpty()) {
+                note(e, "no member of group " + g + " on it is listed", steps);
+                return;
+            }
+            for (String u : here) {
+                if (!sight.fit(u, now)) {
+                    note(e, u + " has not answered", steps);
+                    return;
+                }
+                Duration behind = sight.behind(u, now);
+                if (!u.equals(sight.primary(g, now)) && (behind == null || behind.compareTo(rules.lag()) > 0)) {
+                    note(e, u + " is " + (behind == null ? "not known to be close" : behind.toMillis() + " ms behind") + " on the log",
+                        steps);
+                    return;
+                }
+            }
+        }
+        if (now.minus(since).compareTo(rules.cold()) < 0) {
+            note(e, "cold", steps);
+            return;
+        }
+        steps.add(new Step(e.machine, "IN", e.stageAt, "close on the log and warm"));
+    }
+
+    private void note(Plan.Entry e, String what, List<Step> steps) {
+        // Figures change with each look: what stands in the log is changed only where the words are others.
+        if (!words(e.note).equals(words(what))) {
+            steps.add(new Step(e.machine, "note", e.stageAt, what));
+            if (what.startsWith("PAGE")) {
+                pages.put(e.machine, what);
+            }
+        }
+    }
+
+    private static String words(String of) {
+        return of.replaceAll("[0-9.]+", "0");
+    }
+
+    /** Announces what may go next: as much together as the limits let. */
+    private void begin(List<Plan.Entry> all, Picture plan, Sight sight, Duration now, List<Step> steps) {
+        List<Plan.Entry> away = new ArrayList<>(all.stream().filter(e -> e.stage.announced()).toList());
+        List<Plan.Entry> waiting = new ArrayList<>(all.stream().filter(e -> e.stage == Stage.ASKED && !e.held
+            && !restUntil.containsKey(e.machine) && plan.machines().containsKey(e.machine)).toList());
+        // Whoever has a time to keep first, then replicas before primaries, then whoever has waited longest.
+        waiting.sort(Comparator.<Plan.Entry>comparingLong(e -> e.before > 0 ? e.before : Long.MAX_VALUE)
+            .thenComparingLong(e -> primaries(plan.machines().get(e.machine), sight, now)).thenComparingLong(e -> e.number));
+        Set<String> stillThere = new HashSet<>();
+        all.forEach(e -> stillThere.add(e.machine));
+        for (Plan.Entry e : waiting) {
+            Machine m = plan.machines().get(e.machine);
+            if (away.size() >= limit(plan)) {
+                break;
+            }
+            boolean fits = away.stream().map(o -> plan.machines().get(o.machine)).allMatch(o -> o != null
+                && o.zone().equals(m.zone()) && !o.sharesGroup(m)) && e.after.stream().noneMatch(stillThere::contains);
+            if (!fits) {
+                continue;
+            }
+            String others = othersUnfit(m, sight, now);
+            if (others.isEmpty()) {
+                away.add(e);
+                steps.add(new Step(e.machine, Stage.PLANNED.name(), e.stageAt, "its turn"));
+            } else {
+                note(e, others, steps);
+            }
+        }
+    }
+
+    private int limit(Picture plan) {
+        return plan.lines().isEmpty() ? 1 : Integer.parseInt(plan.lines().get(0).split(" ")[0]);
+    }
+
+    private static long primaries(Machine m, Sight sight, Duration now) {
+        return m.groups().stream().filter(g -> sight.primary(g, now) != null && m.holds(sight.primary(g, now))).count();
+    }
+}
--- /dev/null
+++ b/src/main/java/wingroad/work/View.java
@@ -0,0 +1,125 @@
+package wingroad.work;
+
+import java.time.Duration;
+import java.util.Collection;
+import java.util.Map;
+import java.util.TreeMap;
+
+/**
+ * What the plan makes of the members that discovery lists, at one driver: the list that the module is told. It holds only as long
+ * as the driver's lease runs: the plan may have gone on since. The table is in docs/notes/work.md. No I/O; the clock is handed in.
+ */
+public final class View {
+    /** What a member counts as. */
+    public enum State {
+        AS_LISTED, DRAINING, GONE, COLD
+    }
+
+    private final WorkRules rules;
+    private final Duration began;
+    private final Duration patience;
+    private Picture picture;
+    private Duration until;
+    private boolean over;
+    /** Machines that return, and since when this driver has known. */
+    private final Map<String, Duration> returning = new TreeMap<>();
+
+    /**
+     * @param began    when the driver started
+     * @param patience with {@link WorkRules.Lost#SERVE}: how long after a start the plan is waited for
+     */
+    public View(WorkRules rules, Duration began, Duration patience) {
+        this.rules = rules;
+        this.began = began;
+        this.patience = patience;
+    }
+
+    /** The plan as it is settled, good up to the lease's end. */
+    public void told(Picture plan, Duration leaseEnds, Duration now) {
+        picture = plan;
+        until = leaseEnds;
+        over = false;
+        returning.keySet().removeIf(m -> plan.entry(m) == null || plan.entry(m).stage != Stage.RETURNING);
+        plan.entries().stream().filter(e -> e.stage == Stage.RETURNING).forEach(e -> returning.putIfAbsent(e.machine, now));
+    }
+
+    /** The lease has been renewed, the plan is the same. */
+    public void renewed(Duration leaseEnds) {
+        until = leaseEnds;
+    }
+
+    /** Nothing is renewed any more: the session is left or has been ended. */
+    public void ended() {
+        over = true;
+    }
+
+    public boolean known() {
+        return picture != null;
+    }
+
+    /** Whether the plan is known and has not gone on unseen. */
+    public boolean current(Duration now) {
+        return picture != null && !over && now.compareTo(until) < 0;
+    }
+
+    /** When this driver's lists have to be looked at again though nothing is heard, or null. */
+    public Duration next(Duration now) {
+        if (picture == null) {
+            return rules.lost() == WorkRules.Lost.SERVE ? began.plus(patience) : null;
+        }
+        return current(now) ? until : rules.lost() == WorkRules.Lost.STRICT ? until.plus(rules.horizon()) : null;
+    }
+
+    /**
+     * What a member counts as.
+     *
+     * @param others whether its group has another member that is listed as fit and may be sent to
+     */
+    public State state(String uid, boolean others, Duration now) {
+        if (picture == null) {
+            boolean planned = rules.machines().values().stream().anyMatch(m -> m.holds(uid));
+            boolean waits = rules.lost() != WorkRules.Lost.SERVE || now.compareTo(began.plus(patience)) < 0;
+            return planned && waits ? State.GONE : State.AS_LISTED;
+        }
+        Machine m = picture.holder(uid);
+        Plan.Entry e = m == null ? null : picture.entry(m.name());
+        if (m == null) {
+            return State.AS_LISTED;
+        }
+        if (current(now)) {
+            return e == null ? State.AS_LISTED : switch (e.stage) {
+                case ASKED, PLANNED -> State.AS_LISTED;
+                case DRAINING -> State.DRAINING;
+                case OUT -> State.GONE;
+                case RETURNING -> State.COLD;
+            };
+        }
+        if (e != null && e.stage.announced()) {
+            boolean serves = rules.lost() == WorkRules.Lost.SERVE && !others && e.stage != Stage.OUT;
+            return !serves ? State.GONE : e.stage == Stage.RETURNING ? State.COLD : State.AS_LISTED;
+        }
+        boolean past = rules.lost() == WorkRules.Lost.STRICT && now.compareTo(until.plus(rules.horizon())) >= 0;
+        return past ? State.GONE : State.AS_LISTED;
+    }
+
+    /** Since when a machine that returns has been known to; for a member that counts as cold. */
+    public Duration returningSince(String uid) {
+        Machine m = picture == null ? null : picture.holder(uid);
+        return m == null ? null : returning.get(m.name());
+    }
+
+    /** The machines at which this driver must have nothing. */
+    public Collection<Plan.Entry> leaving() {
+        return picture == null ? java.util.List.of() : picture.entries().stream().filter(e -> e.stage == Stage.DRAINING
+            || e.stage == Stage.OUT).toList();
+    }
+
+    /** The plan's revision that counts here, or 0. */
+    public long revision() {
+        return picture == null ? 0 : Math.max(0, picture.revision());
+    }
+
+    public Picture picture() {
+        return picture;
+    }
+}
--- a/src/test/java/wingroad/Given.java
+++ b/src/test/java/wingroad/Given.java
@@ -226,6 +226,8 @@
         public final BlockingQueue<String> queries = new LinkedBlockingQueue<>();
         public final AtomicInteger connections = new AtomicInteger();
         public volatile boolean primary;
+        /** How far behind the log it says that it is. */
+        public volatile long behindMs;
         public volatile byte[] welcome = message('R', new byte[4]);
         private volatile Script script;
 
@@ -252,7 +254,7 @@
                 byte[] body = s.in.readNBytes(s.in.readInt() - 4);
                 String sql = new String(body, 0, body.length - 1, StandardCharsets.ISO_8859_1);
                 if (sql.equals("SHOW gauges")) {
-                    s.row("x0=" + System.currentTimeMillis() / 1000.0 + ",x1=" + (primary ? 1 : 0), primary);
+                    s.row("x0=" + (System.currentTimeMillis() - behindMs) / 1000.0 + ",x1=" + (primary ? 1 : 0), primary);
                 } else {
                     queries.add(sql);
                     script.asked(sql, s);
--- a/src/test/java/wingroad/driver/MembersTest.java
+++ b/src/test/java/wingroad/driver/MembersTest.java
@@ -54,6 +54,11 @@
     private Members members(Duration connectTime) {
         return new Members(loop, clock, new Tally(), Map.of("connect-time-out", connectTime, "idle-time",
             Duration.ofSeconds(30)), new Results() {
+            @Override
+            public void sighted(long member, boolean answered, Exchange.Report report) {
+                // nobody plans work here
+            }
+
                 @Override
                 public void ended(Exchange.Errand e, End end, Duration took, Exchange.Told told, byte[] row) {
                     ends.add(new Ended(end, told, row));
--- a/src/test/java/wingroad/rig/FencedMember.java
+++ b/src/test/java/wingroad/rig/FencedMember.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
@@ -22,6 +23,12 @@
         + "SELECT fenced_\\w+\\(([0-9]+)\\).*");
     private static final long PATIENCE_S = 40;
 
+    private static final Pattern CLIENT = Pattern.compile("/\\* id=([^,]*),");
+
+    /** One client's txn that came. */
+    public record Txn(long at, String id) {
+    }
+
     /** One chore's statement that came. */
     public record Entry(long at, String chore, long epoch, long turn, boolean accepted, boolean late) {
     }
@@ -33,6 +40,9 @@
     private final Map<String, Long> highest = new HashMap<>();
     private final List<Entry> ledger = new ArrayList<>();
     private final Set<String> turns = new HashSet<>();
+    private final List<Txn> txns = new ArrayList<>();
+    private final CountDownLatch slow = new CountDownLatch(1);
+    private volatile long answerMs;
     private int twice;
 
     FencedMember(String uid, int group, boolean primary, boolean fenced) throws IOException {
@@ -50,7 +60,7 @@
         member.queries.clear();
         Matcher m = CHORE.matcher(sql);
         if (!m.matches()) {
-            s.row("value", member.primary);
+            client(sql, s);
             return;
         }
         if (chore(m.group(1), Long.parseLong(m.group(4)), Long.parseLong(m.group(3)))) {
@@ -61,6 +71,88 @@
         }
     }
 
+    private void client(String sql, Session s) throws IOException {
+        Matcher id = CLIENT.matcher(sql);
+        synchronized (this) {
+            txns.add(new Txn(System.currentTimeMillis(), id.find() ? id.group(1) : ""));
+            notifyAll();
+        }
+        if (sql.contains("slow_read")) {
+            CountDownLatch until = slow;
+            try {
+                until.await(PATIENCE_S, TimeUnit.SECONDS);
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            }
+        } else if (answerMs > 0) {
+            try {
+                TimeUnit.MILLISECONDS.sleep(answerMs);
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            }
+        }
+        boolean write = sql.contains("INSERT");
+        if (write && !member.primary) {
+            // read_only_sql_transaction
+            s.error("25006", false);
+        } else {
+            s.row("value", member.primary);
+        }
+    }
+
+    /** From now on it is the group's primary, or a replica. */
+    public void primary(boolean is) {
+        member.primary = is;
+    }
+
+    public boolean primary() {
+        return member.primary;
+    }
+
+    /** How long each client's txn takes. */
+    public void takes(long ms) {
+        answerMs = ms;
+    }
+
+    /** How far behind the log it says that it is. */
+    public void behind(long ms) {
+        member.behindMs = ms;
+    }
+
+    /** Lets the slow reads go that are here. */
+    public void letSlowGo() {
+        slow.countDown();
+    }
+
+    /** Clients' txns that came, by the member's own clock. */
+    public synchronized List<Txn> txns() {
+        return List.copyOf(txns);
+    }
+
+    /** Waits until so many clients' txns have come. */
+    public synchronized void awaitTxns(int count) throws InterruptedException {
+        long end = System.nanoTime() + TimeUnit.SECONDS.toNanos(PATIENCE_S);
+        while (txns.size() < count) {
+            long left = end - System.nanoTime();
+            if (left <= 0) {
+                throw new AssertionError("only " + txns.size() + " txns came to " + uid);
+            }
+            wait(Math.max(1, left / 1_000_000));
+        }
+    }
+
+    /** Waits for the next client's txn whose id begins so. */
+    public synchronized void awaitTxn(String id) throws InterruptedException {
+        long end = System.nanoTime() + TimeUnit.SECONDS.toNanos(PATIENCE_S);
+        while (txns.stream().noneMatch(t -> t.id().startsWith(id))) {
+            long left = end - System.nanoTime();
+            if (left <= 0) {
+                throw new AssertionError("no txn " + id + " came to " + uid);
+            }
+            wait(Math.max(1, left / 1_000_000));
+        }
+    }
+
     private synchronized boolean chore(String chore, long epoch, long turn) {
         boolean late = epoch < highest.getOrDefault(chore, 0L);
         boolean accepted = !late || !fenced;
--- a/src/test/java/wingroad/rig/Rig.java
+++ b/src/test/java/wingroad/rig/Rig.java
@@ -58,6 +58,18 @@
         }
     }
 
+    /** What discovery tells: all members, those in the map under their own state. Links are the drivers' own, as known at the start. */
+    public void tellList(Map<String, String> states) throws IOException {
+        StringBuilder all = new StringBuilder();
+        for (FencedMember m : members.values()) {
+            String state = states.getOrDefault(m.uid, "ready");
+            if (!state.equals("gone")) {
+                all.append(all.length() == 0 ? "" : ",").append(entry("d1", m, state));
+            }
+        }
+        discovery.tell(all.toString());
+    }
+
     /** Adds a member; all drivers know it from their start. */
     public FencedMember member(String uid, int group, boolean primary, boolean fenced) throws IOException {
         FencedMember m = new FencedMember(uid, group, primary, fenced);
@@ -93,6 +105,9 @@
             relays.link(name, "discovery").leadTo(discovery.port());
         }
 
+        /** Takes it away from the fleet's file that all share: what stands there for this driver alone, or null. */
+        public String rules = fleet;
+
         public Path state() {
             return home.resolve("state");
         }
@@ -153,7 +168,7 @@
             if (voters.contains(name) || spare.contains(name)) {
                 f.append("    listen \"127.0.0.1:0\"\n");
             }
-            f.append("    state \"").append(state()).append("\"\n").append(fleet).append("}\n");
+            f.append("    state \"").append(state()).append("\"\n").append(rules).append("}\n");
             return Files.writeString(home.resolve("operator.kdl"), f.toString());
         }
 
