--- a/src/bench/java/wingroad/fleet/OwnerBench.java
+++ b/src/bench/java/wingroad/fleet/OwnerBench.java
@@ -555,7 +555,7 @@
         List<String> all = new ArrayList<>();
         for (String v : rig.voters()) {
             rig.driver(v).log().stream().filter(l -> l.contains("fleet:") && !l.contains("turn")).filter(l ->
-                java.time.Instant.parse(l.substring(0, 24)).toEpochMilli() > from - 4000)
+                java.time.Instant.parse(l.substring(0, l.indexOf(' '))).toEpochMilli() > from - 4000)
                 .forEach(l -> all.add("\n    " + v + " " + l));
         }
         return all;
--- a/src/test/java/wingroad/rig/FencedMember.java
+++ b/src/test/java/wingroad/rig/FencedMember.java
@@ -77,7 +77,7 @@
             txns.add(new Txn(System.currentTimeMillis(), id.find() ? id.group(1) : ""));
             notifyAll();
         }
-        if (sql.contains("slow_read")) {
+        if (sql.contains("id=slow")) {
             CountDownLatch until = slow;
             try {
                 until.await(PATIENCE_S, TimeUnit.SECONDS);
--- a/src/test/java/wingroad/work/WorkIT.java
+++ b/src/test/java/wingroad/work/WorkIT.java
@@ -3,10 +3,15 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.io.IOException;
+import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import java.util.UUID;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.CleanupMode;
@@ -14,11 +19,13 @@
 import org.junit.jupiter.api.parallel.Execution;
 import org.junit.jupiter.api.parallel.ExecutionMode;
 import wingroad.Given;
+import wingroad.Given.Client;
 import wingroad.fleet.FleetClient;
 import wingroad.fleet.FleetRules;
 import wingroad.operator.OperatorFile;
 import wingroad.rig.FencedMember;
 import wingroad.rig.Load;
+import wingroad.rig.Relays;
 import wingroad.rig.Rig;
 
 /** Machines taken out by several real processes, with faults between them. */
@@ -38,6 +45,10 @@
             }
         """;
     private static final String SETTINGS = Given.SETTINGS.replace("\"cold\":16000", "\"cold\":1000");
+    /** The same with a txn type that may take a quarter of a minute. */
+    private static final String LONG = SETTINGS.replace("\"grades\":[", "\"grades\":[{\"name\":\"long\",\"aim\":15000,"
+        + "\"deadline\":20000,\"semantics\":\"repeatable\",\"worth\":1,\"window\":5000},")
+        .replace("\"consistency\":[", "\"consistency\":[\"recent\",").replace("\"oldest-data\":[", "\"oldest-data\":[1500,");
 
     @TempDir(cleanup = CleanupMode.ON_SUCCESS)
     Path dir;
@@ -49,7 +60,11 @@
     private Load load;
 
     private void start(String rules) throws Exception {
-        rig = new Rig(dir, 4, 3, rules, SETTINGS);
+        start(rules, SETTINGS);
+    }
+
+    private void start(String rules, String settings) throws Exception {
+        rig = new Rig(dir, 4, 3, rules, settings);
         m1 = rig.member("m1", 7, true, true);
         m2 = rig.member("m2", 7, false, true);
         m3 = rig.member("m3", 7, false, true);
@@ -79,7 +94,8 @@
 
     private <T> T ask(Talk<T> what) throws IOException {
         IOException last = null;
-        for (int i = 0; i < 20; i++) {
+        long end = System.nanoTime() + 40_000_000_000L;
+        while (System.nanoTime() < end) {
             for (String v : rules().voters().keySet()) {
                 try (FleetClient c = new FleetClient(rules(), v)) {
                     return what.with(c);
@@ -96,6 +112,10 @@
         return ask(c -> c.workAsk(machine, "kernel", 0, 0, List.of(), id));
     }
 
+    private String wantAs(String machine, String why, long forMs, long before, List<String> after, String id) throws IOException {
+        return ask(c -> c.workAsk(machine, why, forMs, before, after, id));
+    }
+
     private String word(String word, String machine) throws IOException {
         String id = UUID.randomUUID().toString();
         return ask(c -> c.workWord(word, machine, id));
@@ -124,7 +144,7 @@
             if (System.nanoTime() > end) {
                 throw new AssertionError("the plan never came to that: " + w);
             }
-            java.util.concurrent.TimeUnit.MILLISECONDS.sleep(50);
+            TimeUnit.MILLISECONDS.sleep(50);
         }
     }
 
@@ -156,7 +176,7 @@
         long end = System.nanoTime() + 40_000_000_000L;
         while (load.committed.get() < from + more) {
             assertThat(System.nanoTime()).as("served " + (load.committed.get() - from)).isLessThan(end);
-            java.util.concurrent.TimeUnit.MILLISECONDS.sleep(20);
+            TimeUnit.MILLISECONDS.sleep(20);
         }
     }
 
@@ -178,4 +198,333 @@
         assertThat(load.lost.get()).isZero();
         assertThat(load.servedShare()).isGreaterThan(0.99);
     }
+
+    /** The epoch of the conductor's duty, whoever has it; 0 while nobody does. */
+    private long conducts() throws IOException {
+        for (Object o : (List<?>) ask(FleetClient::status).get("duties")) {
+            Map<?, ?> d = (Map<?, ?>) o;
+            if (d.get("name").equals("conductor") && !d.get("owner").equals("")) {
+                return ((Number) d.get("epoch")).longValue();
+            }
+        }
+        return 0;
+    }
+
+    private Rig.Driver conductor() throws Exception {
+        long end = System.nanoTime() + 40_000_000_000L;
+        while (System.nanoTime() < end) {
+            for (Object o : (List<?>) ask(FleetClient::status).get("duties")) {
+                Map<?, ?> d = (Map<?, ?>) o;
+                if (d.get("name").equals("conductor") && !d.get("owner").equals("")) {
+                    return rig.driver((String) d.get("owner"));
+                }
+            }
+        }
+        throw new AssertionError("nobody conducts");
+    }
+
+    @Test
+    void aConductorThatIsStoppedBeforeItTellsOutIsLateAndRefused() throws Exception {
+        start(RULES.replace("lease-ms 3000", "lease-ms 9000").replace("driver \"d4\";", ""));
+        Rig.Driver first = conductor();
+        BlockingQueue<Object> held = new LinkedBlockingQueue<>();
+        for (String v : rig.voters()) {
+            // Its own seat is reached by a link as well: what it says goes through the rig in any case.
+            rig.relays.between(first.name, v).tap((link, way, bytes, connection) -> {
+                String text = StandardCharsets.ISO_8859_1.decode(bytes).toString();
+                return way == Relays.Way.FORTH && text.contains("WORK_STEP") && text.contains("OUT") && held.isEmpty()
+                    && held.add(connection);
+            });
+        }
+        load.away.add(first.name);
+        assertThat(want("B")).isEmpty();
+        Object order = held.poll(30, TimeUnit.SECONDS);
+        assertThat(order).as("its order").isNotNull();
+        long epoch = conducts();
+        // A voter lets go of a connection that is silent for a lease: the successor has to be there before.
+        first.kill();
+        first.start();
+        while (conducts() <= epoch) {
+            TimeUnit.MILLISECONDS.sleep(20);
+        }
+        rig.relays.letGo(order);
+        awaitWork(w -> ((Number) w.get("late-orders")).longValue() > 0);
+        awaitStage("B", "out");
+        long out = System.currentTimeMillis();
+        serve(100);
+        nothingSince(m2, out);
+        assertThat(word("done", "B")).isEmpty();
+        awaitStage("B", "in");
+    }
+
+    @Test
+    void aConductorThatIsStoppedAndWakesUpLateStartsNothingAnew() throws Exception {
+        start(RULES.replace("driver \"d4\";", ""));
+        Rig.Driver first = conductor();
+        long epoch = conducts();
+        load.away.add(first.name);
+        assertThat(want("B")).isEmpty();
+        first.await("work: B planned");
+        first.pause();
+        awaitStage("B", "out");
+        assertThat(conducts()).isGreaterThan(epoch);
+        assertThat(word("done", "B")).isEmpty();
+        awaitStage("B", "in");
+        int from = first.lines();
+        first.goOn();
+        first.await(from, l -> l.contains("work: the plan is known"));
+        load.away.remove(first.name);
+        int before = m2.txns().size();
+        m2.awaitTxns(before + 1);
+        assertThat(at(work(), "B", "in")).as("where the late one has left it").isTrue();
+    }
+
+    @Test
+    void oneCutOffBehindItsWordLeavesTheMachineAloneAndServesOn() throws Exception {
+        start(RULES);
+        Rig.Driver cut = rig.driver("d2").name.equals(conductor().name) ? rig.driver("d3") : rig.driver("d2");
+        // The plan is known there, and then the wire is cut: what drains has to wait for its view to end.
+        assertThat(want("B")).isEmpty();
+        int from = cut.lines();
+        awaitWork(w -> !at(w, "B", "asked") && !at(w, "B", "planned"));
+        rig.cutFromCouncil(cut.name, true);
+        awaitStage("B", "out");
+        long out = System.currentTimeMillis();
+        assertThat(cut.log().subList(from, cut.lines())).anyMatch(l -> l.contains("view of the plan has ended"));
+        serve(200);
+        nothingSince(m2, out);
+        try (Client c = new Client(cut.port())) {
+            c.startup().heard();
+            assertThat(c.ask(Given.read("served")).heard()).containsExactly("row value");
+        }
+        rig.cutFromCouncil(cut.name, false);
+        cut.await(from, l -> l.contains("work: the plan is known"));
+        serve(100);
+        nothingSince(m2, out);
+        assertThat(load.lost.get()).isZero();
+    }
+
+    @Test
+    void oneCutOffBeforeItEverHeardIsWaitedFor() throws Exception {
+        start(RULES);
+        Rig.Driver cut = rig.driver("d2").name.equals(conductor().name) ? rig.driver("d3") : rig.driver("d2");
+        rig.cutFromCouncil(cut.name, true);
+        cut.await("view of the plan has ended");
+        awaitWork(w -> ((List<?>) w.get("astray")).contains(cut.name));
+        assertThat(want("B")).isEmpty();
+        awaitWork(w -> entry(w, "B").filter(e -> e.get("waits").toString().contains(cut.name + " (without a session)")).isPresent());
+        serve(200);
+        assertThat(at(work(), "B", "planned")).isTrue();
+        rig.cutFromCouncil(cut.name, false);
+        awaitStage("B", "out");
+        long out = System.currentTimeMillis();
+        serve(100);
+        nothingSince(m2, out);
+    }
+
+    @Test
+    void oneThatIsKilledForGoodIsWaitedForUntilAnOperatorSaysSo() throws Exception {
+        start(RULES);
+        Rig.Driver dead = rig.driver("d4");
+        load.away.add("d4");
+        dead.kill();
+        awaitWork(w -> ((List<?>) w.get("astray")).contains("d4"));
+        assertThat(want("C")).isEmpty();
+        awaitWork(w -> entry(w, "C").filter(e -> e.get("waits").toString().contains("d4 (without a session)")).isPresent());
+        assertThat(word("gone", "d4")).isEmpty();
+        awaitStage("C", "out");
+        long out = System.currentTimeMillis();
+        serve(100);
+        nothingSince(m3, out);
+        // It was not gone after all: it sends nothing before it has learned the plan.
+        dead.start();
+        dead.await("work: the plan is known");
+        load.away.remove("d4");
+        serve(200);
+        nothingSince(m3, out);
+    }
+
+    @Test
+    void withStrictViewsTheCouncilGoesOnAfterAHorizon() throws Exception {
+        start(RULES.replace("watch 0.5", "watch 0.5\n                lost-view \"strict\" horizon=5"));
+        Rig.Driver cut = rig.driver("d2").name.equals(conductor().name) ? rig.driver("d3") : rig.driver("d2");
+        load.away.add(cut.name);
+        rig.cutFromCouncil(cut.name, true);
+        cut.await("view of the plan has ended");
+        assertThat(want("B")).isEmpty();
+        awaitStage("B", "out");
+        long out = System.currentTimeMillis();
+        serve(100);
+        nothingSince(m2, out);
+        try (Client c = new Client(cut.port())) {
+            c.startup().heard();
+            assertThat(c.ask(Given.read("declined")).heard()).doesNotContain("row value");
+        }
+        rig.cutFromCouncil(cut.name, false);
+        cut.await("work: the plan is known");
+    }
+
+    @Test
+    void aLongTxnHoldsUpOutAndAWholeFleetThatIsKilledMeanwhileGoesOn() throws Exception {
+        start(RULES, LONG);
+        List<Client> slow = new ArrayList<>();
+        for (int i = 0; i < 16; i++) {
+            Client c = new Client(rig.driver("d3").port());
+            slow.add(c);
+            c.startup().heard();
+            c.ask(Given.read("slow" + i).replace("c=look,d=3000", "c=long,d=20000"));
+        }
+        m2.awaitTxn("slow");
+        assertThat(want("B")).isEmpty();
+        awaitWork(w -> entry(w, "B").filter(e -> e.get("waits").toString().contains("to leave it: [d3]")).isPresent());
+        serve(100);
+        assertThat(at(work(), "B", "draining")).isTrue();
+        for (Rig.Driver d : rig.drivers.values()) {
+            load.away.add(d.name);
+            d.kill();
+        }
+        for (String name : List.of("d4", "d3", "d2", "d1")) {
+            rig.driver(name).start();
+        }
+        awaitStage("B", "out");
+        long out = System.currentTimeMillis();
+        load.away.clear();
+        serve(200);
+        nothingSince(m2, out);
+        for (Client c : slow) {
+            c.close();
+        }
+        for (FencedMember m : List.of(m1, m2, m3)) {
+            m.letSlowGo();
+        }
+    }
+
+    @Test
+    void twoOperatorsAtOnceNeverTakeTwoOfAGroup() throws Exception {
+        start(RULES);
+        List<String> answers = List.of("B", "C").parallelStream().map(m -> {
+            try {
+                return want(m);
+            } catch (IOException e) {
+                return e.toString();
+            }
+        }).toList();
+        assertThat(answers).containsOnly("");
+        String one = awaitWork(w -> at(w, "B", "out") || at(w, "C", "out")) == null ? "" : at(work(), "B", "out") ? "B" : "C";
+        String other = one.equals("B") ? "C" : "B";
+        awaitWork(w -> entry(w, other).filter(e -> e.get("waits").toString().startsWith("zone")).isPresent());
+        serve(100);
+        assertThat(at(work(), other, "asked")).isTrue();
+        assertThat(word("done", one)).isEmpty();
+        awaitStage(other, "out");
+        assertThat(at(work(), one, "in")).isTrue();
+        assertThat(load.servedShare()).isGreaterThan(0.99);
+    }
+
+    @Test
+    void aMachineWithThePrimaryWaitsUntilItHasMovedAndEverybodyKnows() throws Exception {
+        start(RULES);
+        assertThat(want("A")).isEmpty();
+        awaitWork(w -> entry(w, "A").filter(e -> e.get("waits").toString().contains("the primary of group 7 is here: to be moved to"))
+            .isPresent());
+        serve(200);
+        assertThat(at(work(), "A", "planned")).isTrue();
+        m1.primary(false);
+        m3.primary(true);
+        awaitStage("A", "out");
+        long out = System.currentTimeMillis();
+        serve(200);
+        nothingSince(m1, out);
+        assertThat(word("done", "A")).isEmpty();
+        awaitStage("A", "in");
+        assertThat(load.lost.get()).isZero();
+    }
+
+    @Test
+    void aReleaseThatRestartsAllWhileOneIsOutSendsNothingThere() throws Exception {
+        start(RULES);
+        assertThat(want("B")).isEmpty();
+        awaitStage("B", "out");
+        long out = System.currentTimeMillis();
+        for (Rig.Driver d : rig.drivers.values()) {
+            load.away.add(d.name);
+            d.terminate();
+            d.awaitEnd();
+            d.start();
+            d.await("work: the plan is known");
+            load.away.remove(d.name);
+        }
+        serve(200);
+        nothingSince(m2, out);
+        assertThat(at(work(), "B", "out")).isTrue();
+        assertThat(word("done", "B")).isEmpty();
+        awaitStage("B", "in");
+        m2.awaitTxns(m2.txns().size() + 1);
+    }
+
+    @Test
+    void aMemberThatFailsMeanwhilePutsBackWhatDrainsAndWantsBackWhatIsOut() throws Exception {
+        start(RULES);
+        assertThat(want("B")).isEmpty();
+        awaitStage("B", "out");
+        // Nothing else of its group may fail now: that is told at once, and nothing is begun.
+        m3.close();
+        for (Rig.Driver d : rig.drivers.values()) {
+            rig.relays.between(d.name, "m3").leadTo(0);
+            rig.relays.breakOff(rig.relays.between(d.name, "m3"));
+        }
+        awaitWork(w -> entry(w, "B").filter(e -> e.get("waits").toString().contains("PAGE: wanted back: group 7: m3 is not fit"))
+            .isPresent());
+        assertThat(want("A")).isEmpty();
+        assertThat(word("done", "B")).isEmpty();
+        awaitStage("B", "in");
+        serve(100);
+        assertThat(at(work(), "A", "asked")).isTrue();
+    }
+
+    @Test
+    void allIsHeldWithinASecondAndGoesOn() throws Exception {
+        start(RULES, LONG);
+        Client c = new Client(rig.driver("d1").port());
+        c.startup().heard();
+        assertThat(want("B")).isEmpty();
+        awaitWork(w -> !at(w, "B", "asked"));
+        long at = System.nanoTime();
+        assertThat(word("hold", "*")).isEmpty();
+        assertThat(System.nanoTime() - at).isLessThan(1_000_000_000L);
+        assertThat(work().get("held")).isEqualTo(true);
+        // Out it was already, or it is put back; nothing lies between.
+        assertThat(at(work(), "B", "asked") || at(work(), "B", "out")).isTrue();
+        assertThat(word("go", "*")).isEmpty();
+        awaitStage("B", "out");
+        c.close();
+    }
+
+    @Test
+    void whatCanNeverBeIsRefusedAtOnceWithTheReason() throws Exception {
+        start(RULES);
+        assertThat(want("Z")).isEqualTo("there is no machine 'Z'");
+        assertThat(wantAs("B", "", 0, 1, List.of(), "early")).contains("has passed");
+        assertThat(wantAs("B", "", 0, 0, List.of("B"), "self")).contains("comes after");
+        assertThat(word("done", "B")).isEmpty();
+        assertThat(word("cancel", "B")).contains("is not asked for");
+        assertThat(wantAs("B", "", 1000, 0, List.of(), "same")).isEmpty();
+        assertThat(wantAs("B", "", 1000, 0, List.of(), "same")).isEmpty();
+        // Out for longer than was asked: told, not assumed to be back.
+        awaitWork(w -> entry(w, "B").filter(e -> e.get("waits").toString().contains("PAGE: out for longer than 1 s")).isPresent());
+        assertThat(word("cancel", "B")).contains("brings it back");
+    }
+
+    @Test
+    void aDriverOnAMachineThatDrainsHandsItsDutiesOver() throws Exception {
+        start(RULES.replace("driver \"d4\";", "driver \"d1\"; driver \"d4\";").replace("member \"m3\" group=7; driver \"d1\";",
+            "member \"m3\" group=7;"));
+        assertThat(want("B")).isEmpty();
+        awaitStage("B", "out");
+        assertThat(List.of("d1", "d4")).doesNotContain(conductor().name);
+        // One voter of three is away: a second one would leave no majority for the next fault.
+        rig.driver("d2").await("work: B out");
+        assertThat(word("done", "B")).isEmpty();
+        awaitStage("B", "in");
+    }
 }
