--- a/src/main/java/wingroad/work/Conductor.java
+++ b/src/main/java/wingroad/work/Conductor.java
@@ -38,6 +38,8 @@
     private Duration busyAt;
     /** Machines that are out, and when the last one was seen to have become so. */
     private Set<String> outs = Set.of();
+    /** Those that are to drain by the look that is under way. */
+    private final Set<String> chosen = new HashSet<>();
     private Duration outAt;
 
     /** @param voters who decides in the council: never more of them away than a majority can spare */
@@ -58,6 +60,7 @@
     public List<Step> next(Picture plan, Sight sight, long wall, Duration now) {
         List<Step> steps = new ArrayList<>();
         List<Plan.Entry> all = new ArrayList<>(plan.entries());
+        chosen.clear();
         boolean atWork = all.stream().anyMatch(e -> e.stage == Stage.DRAINING || e.stage == Stage.OUT || e.stage == Stage.RETURNING);
         pace.figures(plan.served(), plan.harmed(), atWork, now);
         uses(plan, now);
@@ -114,6 +117,7 @@
         }
         String not = whyNotDrain(e, m, plan, sight, now);
         if (not.isEmpty()) {
+            chosen.add(e.machine);
             steps.add(new Step(e.machine, Stage.DRAINING.name(), e.stageAt, "everybody knows of it"));
         } else {
             note(e, not, steps);
@@ -146,9 +150,11 @@
         if (!e.unbelieved) {
             return "some driver still takes a member here for a primary";
         }
-        long gone = voters.stream().filter(v -> !plan.live().contains(v) || m.drivers().contains(v)
-            || plan.entries().stream().anyMatch(o -> o.stage.announced() && o != e && plan.machines().containsKey(o.machine)
-            && plan.machines().get(o.machine).drivers().contains(v))).count();
+        // Those that are chosen in the same look count as well; two that only wait for each other's turn do not.
+        Set<String> away = new HashSet<>(m.drivers());
+        plan.entries().stream().filter(o -> o.stage == Stage.DRAINING || o.stage == Stage.OUT || chosen.contains(o.machine))
+            .map(o -> plan.machines().get(o.machine)).filter(o -> o != null).forEach(o -> away.addAll(o.drivers()));
+        long gone = voters.stream().filter(v -> !plan.live().contains(v) || away.contains(v)).count();
         if (m.drivers().stream().anyMatch(voters::contains) && gone > (voters.size() - 1) / 2) {
             return "a voter is on it, and " + (gone - 1) + " of " + voters.size() + " are away";
         }
--- /dev/null
+++ b/src/test/java/wingroad/work/ConductorTest.java
@@ -0,0 +1,209 @@
+package wingroad.work;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import org.junit.jupiter.api.Test;
+
+/** The conductor on a plan that settles what it proposes, and on members that say of themselves what a test says. */
+class ConductorTest {
+    private final WorkRules rules = rules(2, 0);
+    private final Plan plan = new Plan();
+    private final Picture picture = new Picture();
+    private final Sight sight = new Sight(Duration.ofSeconds(3));
+    private Conductor conductor = new Conductor(rules, List.of("d1", "d2", "d3"));
+    private Duration now = Duration.ofSeconds(100);
+    private long served = 1000;
+    private long harmed;
+    private long busy;
+    private final Map<String, Boolean> silent = new TreeMap<>();
+    private String primary = "p1";
+
+    private static WorkRules rules(int atOnce, double room) {
+        Map<String, Machine> machines = new TreeMap<>();
+        for (String line : List.of("A a p1#1 ", "B b p2#1 d2", "C c p3#1 d3", "D b q2#2 ", "E c q3#2 d1")) {
+            Machine m = Machine.of(line);
+            machines.put(m.name(), m);
+        }
+        return new WorkRules(machines, atOnce, WorkRules.Lost.STEADY, Duration.ofSeconds(60), Duration.ofSeconds(1), 0.05,
+            Duration.ofMillis(500), room, Duration.ofSeconds(5), Duration.ofSeconds(2), Duration.ofSeconds(1));
+    }
+
+    ConductorTest() {
+        plan.inventory(rules.lines());
+        for (String d : List.of("d1", "d2", "d3")) {
+            plan.opened(d + "/a", d, d);
+        }
+        for (String u : List.of("p1", "p2", "p3")) {
+            sight.listed(u, 1, false, true);
+        }
+        sight.listed("q1", 2, false, true);
+        sight.listed("q2", 2, false, true);
+        sight.listed("q3", 2, false, true);
+    }
+
+    private void ask(String machine) {
+        assertThat(plan.ask(machine, machine, "", 5000, 0, List.of(), plan.revision())).isEmpty();
+    }
+
+    /** A quarter of a second: members answer, all drivers confirm, steps are settled; what was proposed. */
+    private List<String> turn() {
+        now = now.plusMillis(250);
+        served += 100;
+        for (String u : List.of("p1", "p2", "p3", "q1", "q2", "q3")) {
+            if (!silent.containsKey(u)) {
+                sight.said(u, u.equals(primary) || u.equals("q1"), Duration.ofMillis(20), now);
+            }
+        }
+        Set<String> clear = new java.util.TreeSet<>();
+        plan.entries().forEach(e -> clear.add(e.machine()));
+        for (String d : List.of("d1", "d2", "d3")) {
+            Map<Integer, String> believes = Map.of(1, primary);
+            plan.reports(List.of(new Report(plan.revision(), clear, believes, served, harmed, Map.of(1, busy)).line(d + "/a")));
+        }
+        picture.news(plan.news(0));
+        picture.fleet(plan.sums(), List.of("d1", "d2", "d3"));
+        List<String> done = new ArrayList<>();
+        for (Conductor.Step s : conductor.next(picture, sight, now.toMillis(), now)) {
+            String not = plan.step(s.machine(), s.to(), s.stageAt(), s.why(), true, now.toMillis());
+            done.add(s.machine() + " " + s.to() + (not.isEmpty() ? "" : " refused: " + not));
+        }
+        return done;
+    }
+
+    private void turns(int count) {
+        for (int i = 0; i < count; i++) {
+            turn();
+        }
+    }
+
+    private Stage at(String machine) {
+        return plan.entry(machine) == null ? null : plan.entry(machine).stage();
+    }
+
+    private String waits(String machine) {
+        return plan.waitsFor(plan.entry(machine));
+    }
+
+    @Test
+    void whatCanGoTogetherGoesTogetherAndTheRestInTurn() {
+        ask("C");
+        ask("B");
+        ask("D");
+        turns(12);
+        // C was asked for first; D shares no group with it, but its zone is another one.
+        assertThat(at("C")).isEqualTo(Stage.OUT);
+        assertThat(at("B")).isEqualTo(Stage.ASKED);
+        assertThat(at("D")).isEqualTo(Stage.ASKED);
+        plan.word("done", "C", 0);
+        turns(30);
+        assertThat(at("C")).isNull();
+        assertThat(List.of(at("B"), at("D"))).containsOnly(Stage.OUT);
+    }
+
+    @Test
+    void replicasGoBeforeTheirPrimaryWhichWaitsUntilItHasMoved() {
+        ask("A");
+        ask("C");
+        turns(12);
+        assertThat(at("A")).isEqualTo(Stage.ASKED);
+        assertThat(at("C")).isEqualTo(Stage.OUT);
+        plan.word("done", "C", 0);
+        turns(20);
+        assertThat(at("A")).isEqualTo(Stage.PLANNED);
+        assertThat(waits("A")).isEqualTo("the primary of group 1 is here: to be moved to p2 or p3");
+        primary = "p2";
+        turns(20);
+        assertThat(at("A")).isEqualTo(Stage.OUT);
+    }
+
+    @Test
+    void aMemberThatFailsByItselfCountsAsAway() {
+        silent.put("p3", true);
+        ask("B");
+        turns(15);
+        assertThat(at("B")).isEqualTo(Stage.ASKED);
+        assertThat(waits("B")).isEqualTo("group 1: p3 is not fit");
+        silent.clear();
+        turns(12);
+        assertThat(at("B")).isEqualTo(Stage.OUT);
+        silent.put("p3", true);
+        turns(25);
+        assertThat(waits("B")).isEqualTo("PAGE: wanted back: group 1: p3 is not fit");
+    }
+
+    @Test
+    void whatDrainsIsPutBackOnceHarmIsSeen() {
+        ask("B");
+        while (at("B") != Stage.DRAINING) {
+            turn();
+        }
+        harmed += 500;
+        assertThat(turn()).contains("B ASKED");
+        assertThat(at("B")).isEqualTo(Stage.ASKED);
+        // And not begun anew at once.
+        turns(8);
+        assertThat(at("B")).isEqualTo(Stage.ASKED);
+        turns(20);
+        assertThat(at("B")).isEqualTo(Stage.OUT);
+    }
+
+    @Test
+    void theLoadHasToFitIntoWhatIsLeft() {
+        conductor = new Conductor(rules(2, 10), List.of("d1", "d2", "d3"));
+        ask("B");
+        for (int i = 0; i < 12; i++) {
+            // Twenty txns at a time, three drivers together: two members have room for twenty, four fifths of it to be used.
+            busy += 250 * 20 / 3;
+            turn();
+        }
+        assertThat(at("B")).isEqualTo(Stage.PLANNED);
+        assertThat(waits("B")).startsWith("group 1 has ").contains("room for 16.0");
+        for (int i = 0; i < 12; i++) {
+            busy += 250 * 12 / 3;
+            turn();
+        }
+        assertThat(at("B")).isEqualTo(Stage.OUT);
+    }
+
+    @Test
+    void noMoreVotersAreAwayThanAMajorityCanSpare() {
+        ask("C");
+        ask("E");
+        turns(12);
+        // Both are of zone c and share no group; each holds a voter, and one of three may be away.
+        assertThat(List.of(at("C"), at("E"))).containsExactlyInAnyOrder(Stage.OUT, Stage.PLANNED);
+        assertThat(waits(at("C") == Stage.OUT ? "E" : "C")).contains("a voter is on it");
+    }
+
+    @Test
+    void oneThatIsOutForTooLongIsTold() {
+        ask("B");
+        turns(12);
+        assertThat(at("B")).isEqualTo(Stage.OUT);
+        turns(24);
+        assertThat(waits("B")).isEqualTo("PAGE: out for longer than 5 s");
+    }
+
+    @Test
+    void aMachineIsInOnceItsMemberIsCloseOnTheLogAndWarm() {
+        ask("B");
+        turns(12);
+        plan.word("done", "B", 0);
+        silent.put("p2", true);
+        sight.said("p2", false, Duration.ofSeconds(9), now);
+        turns(4);
+        assertThat(waits("B")).contains("p2 is 9000 ms behind on the log");
+        silent.clear();
+        turns(4);
+        assertThat(at("B")).isEqualTo(Stage.RETURNING);
+        assertThat(waits("B")).isEqualTo("cold");
+        turns(6);
+        assertThat(at("B")).isNull();
+    }
+}
