The conductor asks only members that its next look needs; reports name announced machines alone

With a thousand machines asked for, a conductor would have asked three thousand members each second and each driver's report have named a thousand groups. It looks at so many candidates as may go at a time, twice and some, and rests those whose groups stay unfit, so that nobody behind them starves. Declines at the door count as harm too. Tests: ConductorTest, SimWorkTest as before.

--- a/src/main/java/wingroad/driver/Exchange.java
+++ b/src/main/java/wingroad/driver/Exchange.java
@@ -378,6 +378,7 @@
             door.closed(now, v.visit());
         } else if (!v.letIn()) {
             take(v.visit().txn());
+            seen(t, now, false);
             t.asker.declined(v.comeBack());
         } else {
             try {
--- a/src/main/java/wingroad/driver/WorkDesk.java
+++ b/src/main/java/wingroad/driver/WorkDesk.java
@@ -340,11 +340,11 @@
         fleet.report(new Report(knows, clear, believes, served, harmed, use));
     }
 
-    /** The groups that have a member on a machine that is asked for. */
+    /** The groups that have a member on a machine that is announced. */
     private Set<Integer> touched() {
         Set<Integer> groups = new TreeSet<>();
         for (Plan.Entry e : picture.entries()) {
-            Machine m = picture.machines().get(e.machine());
+            Machine m = e.stage().announced() ? picture.machines().get(e.machine()) : null;
             if (m != null) {
                 groups.addAll(m.groups());
             }
@@ -368,8 +368,8 @@
             fleet.orderMachines(epoch, rules.lines());
             return;
         }
-        askMembers();
         List<Conductor.Step> steps = conductor.next(picture, sight, System.currentTimeMillis(), now());
+        askMembers();
         conductor.pages().forEach((m, text) -> log.accept("work: " + m + " " + text));
         if (!steps.isEmpty()) {
             fleet.order(epoch, steps);
@@ -379,7 +379,7 @@
     /** A conductor with few txns of its own sees little: it asks the members of the groups concerned itself. */
     private void askMembers() {
         Duration now = now();
-        Set<Integer> groups = touched();
+        Set<Integer> groups = conductor.groups(picture);
         askedAt.keySet().retainAll(listed.keySet());
         for (Entry e : listed.values()) {
             Duration at = askedAt.get(e.uid());
--- a/src/main/java/wingroad/work/Conductor.java
+++ b/src/main/java/wingroad/work/Conductor.java
@@ -11,6 +11,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.TreeMap;
+import java.util.TreeSet;
 
 /**
  * The work's conductor: what the next steps are, from what is settled and from what its driver has seen of the members. It only
@@ -21,6 +22,9 @@
     private static final double MOST_USE = 0.8;
     /** A machine that was put back for harm is looked at again after so many times the watched span. */
     private static final int REST = 3;
+    /** So many times what may go at a time, and some, are looked at in one look: their members have to be asked. */
+    private static final int LOOKS = 2;
+    private static final int AND_SOME = 8;
 
     /** A step to be settled; {@code to} is a stage's name, "IN" or "note". */
     public record Step(String machine, String to, long stageAt, String why) {
@@ -40,6 +44,8 @@
     private Set<String> outs = Set.of();
     /** Those that are to drain by the look that is under way. */
     private final Set<String> chosen = new HashSet<>();
+    /** Those whose members had to be known in the last look. */
+    private final Set<String> looked = new HashSet<>();
     private Duration outAt;
 
     /** @param voters who decides in the council: never more of them away than a majority can spare */
@@ -56,11 +62,20 @@
         return all;
     }
 
+    /** The groups whose members have to be seen for the next look. */
+    public Set<Integer> groups(Picture plan) {
+        Set<Integer> all = new TreeSet<>();
+        looked.stream().map(m -> plan.machines().get(m)).filter(m -> m != null).forEach(m -> all.addAll(m.groups()));
+        return all;
+    }
+
     /** The steps that are next; asked again and again until they are seen settled. */
     public List<Step> next(Picture plan, Sight sight, long wall, Duration now) {
         List<Step> steps = new ArrayList<>();
         List<Plan.Entry> all = new ArrayList<>(plan.entries());
         chosen.clear();
+        looked.clear();
+        all.stream().filter(e -> e.stage.announced()).forEach(e -> looked.add(e.machine));
         boolean atWork = all.stream().anyMatch(e -> e.stage == Stage.DRAINING || e.stage == Stage.OUT || e.stage == Stage.RETURNING);
         pace.figures(plan.served(), plan.harmed(), atWork, now);
         uses(plan, now);
@@ -275,9 +290,10 @@
             .thenComparingLong(e -> primaries(plan.machines().get(e.machine), sight, now)).thenComparingLong(e -> e.number));
         Set<String> stillThere = new HashSet<>();
         all.forEach(e -> stillThere.add(e.machine));
+        int most = limit(plan) * LOOKS + AND_SOME + looked.size();
         for (Plan.Entry e : waiting) {
             Machine m = plan.machines().get(e.machine);
-            if (away.size() >= limit(plan)) {
+            if (away.size() >= limit(plan) || looked.size() >= most) {
                 break;
             }
             boolean fits = away.stream().map(o -> plan.machines().get(o.machine)).allMatch(o -> o != null
@@ -285,11 +301,16 @@
             if (!fits) {
                 continue;
             }
+            looked.add(e.machine);
             String others = othersUnfit(m, sight, now);
             if (others.isEmpty()) {
                 away.add(e);
                 steps.add(new Step(e.machine, Stage.PLANNED.name(), e.stageAt, "its turn"));
             } else {
+                if (!lasting(e.machine, others, now).isEmpty()) {
+                    // Those behind it have their turn meanwhile.
+                    restUntil.put(e.machine, now.plus(rules.watch()));
+                }
                 note(e, others, steps);
             }
         }
