The plan's news are found by change, and a process that was stopped looks at its view before it sends

A driver's turn looked at its view at its begin; a submission that waited for its connection was asked about without that, so one stopped meanwhile could have sent by a view that had ended (found by reading Exchange.mayStillGo). It looks there too now. News of the plan are kept by their change: each push looked through all machines that are asked for.

--- a/src/main/java/wingroad/driver/Exchange.java
+++ b/src/main/java/wingroad/driver/Exchange.java
@@ -297,6 +297,10 @@
 
     @Override
     public boolean mayStillGo(Errand e) {
+        if (watcher != null) {
+            // Guards against a process that was stopped while the connection opened: its list may count for nothing by now.
+            watcher.look();
+        }
         return e.probe() || open.containsKey(e.txn()) && router.mayStillGo(clock.now(), e.txn(), e.member());
     }
 
--- a/src/main/java/wingroad/work/Plan.java
+++ b/src/main/java/wingroad/work/Plan.java
@@ -176,6 +176,8 @@
 
     private final TreeMap<String, Machine> machines = new TreeMap<>();
     private final TreeMap<String, Entry> entries = new TreeMap<>();
+    /** The same by their last changes: what is new is asked for by each driver, after each change. */
+    private final TreeMap<Long, Entry> byChange = new TreeMap<>();
     private final TreeMap<String, Live> live = new TreeMap<>();
     private final TreeMap<String, Astray> astray = new TreeMap<>();
     /** Machines that were taken off the plan, with the change's number, oldest first. */
@@ -429,6 +431,7 @@
     }
 
     private void remove(Entry e) {
+        byChange.remove(e.changed);
         revision++;
         changes++;
         gone.add(new Object[] {e.machine, changes});
@@ -451,7 +454,7 @@
         if (to.equals("note")) {
             if (!e.note.equals(text(why))) {
                 e.note = text(why);
-                e.changed = ++changes;
+                changed(e);
             }
             return "";
         }
@@ -510,7 +513,7 @@
 
     private void moved(Entry e, long wall, String what) {
         revision++;
-        e.changed = ++changes;
+        changed(e);
         e.since = wall;
         if (e.stageAt == 0) {
             e.stageAt = revision;
@@ -518,6 +521,12 @@
         note(wall, e.machine, what);
     }
 
+    private void changed(Entry e) {
+        byChange.remove(e.changed);
+        e.changed = ++changes;
+        byChange.put(e.changed, e);
+    }
+
     private void note(long wall, String machine, String what) {
         history.add(wall + " " + machine + " " + what);
         if (history.size() > HISTORY) {
@@ -547,7 +556,7 @@
                 e.known = known;
                 e.clear = clear;
                 e.unbelieved = unbelieved;
-                e.changed = ++changes;
+                changed(e);
             }
         }
     }
@@ -627,7 +636,7 @@
         m.put("whole", whole);
         m.put("rev", revision);
         m.put("held", held);
-        m.put("entries", entries.values().stream().filter(e -> whole || e.changed > since).map(Entry::values).toList());
+        m.put("entries", (whole ? entries : byChange.tailMap(since, false)).values().stream().map(Entry::values).toList());
         m.put("gone", whole ? List.of() : gone.stream().filter(g -> (long) g[1] > since && !entries.containsKey((String) g[0]))
             .map(g -> g[0]).toList());
         if (whole || linesChanged > since) {
@@ -658,6 +667,7 @@
     public void become(Object of) {
         machines.clear();
         entries.clear();
+        byChange.clear();
         live.clear();
         astray.clear();
         gone.clear();
@@ -684,6 +694,7 @@
         ((List<?>) all.get("entries")).forEach(v -> {
             Entry e = Entry.of((List<?>) v);
             entries.put(e.machine, e);
+            byChange.put(e.changed, e);
         });
         ((List<?>) all.get("live")).forEach(o -> {
             List<?> v = (List<?>) o;
--- a/src/test/java/wingroad/fleet/SimWork.java
+++ b/src/test/java/wingroad/fleet/SimWork.java
@@ -37,6 +37,8 @@
     private final SimFleet fleet;
     private final Random random;
     private final Map<String, Member> members = new TreeMap<>();
+    private final Map<Integer, List<Member>> byGroup = new HashMap<>();
+    private final Map<String, List<Member>> byMachine = new HashMap<>();
     /** What is settled, by the furthest register: machine to stage; and how far that is. */
     private Map<String, Stage> settled = Map.of();
     private long furthest = -1;
@@ -83,6 +85,8 @@
                 String uid = "g" + g + "z" + z;
                 parts.get(on).add(new Machine.Part(uid, g));
                 members.put(uid, new Member(uid, g, "m" + on));
+                byGroup.computeIfAbsent(g, k -> new ArrayList<>()).add(members.get(uid));
+                byMachine.computeIfAbsent("m" + on, k -> new ArrayList<>()).add(members.get(uid));
                 members.get(uid).primary = z == g % 3;
             }
             at += 3;
@@ -153,7 +157,7 @@
             if (s == Stage.OUT && settled.get(m) != Stage.OUT) {
                 out++;
                 outAt.put(m, fleet.now);
-                members.values().stream().filter(x -> x.machine.equals(m) && x.open > 0).forEach(x ->
+                byMachine.getOrDefault(m, List.of()).stream().filter(x -> x.open > 0).forEach(x ->
                     fleet.breaks(m + " was told to be out with " + x.open + " txns at " + x.uid));
             }
         });
@@ -248,7 +252,7 @@
             Map<Integer, String> believes = new TreeMap<>();
             if (view.current(proc.now())) {
                 leftSince.forEach((m, since) -> {
-                    boolean none = members.values().stream().noneMatch(x -> x.machine.equals(m) && open.getOrDefault(x.uid, 0) > 0);
+                    boolean none = byMachine.getOrDefault(m, List.of()).stream().noneMatch(x -> open.getOrDefault(x.uid, 0) > 0);
                     if (none && proc.now().minus(since).compareTo(GRACE) > 0) {
                         clear.add(m);
                     }
@@ -306,7 +310,7 @@
         private void send() {
             int g = random.nextInt(members.size() / 3);
             Duration now = proc.now();
-            List<Member> fit = members.values().stream().filter(m -> m.group == g && m.up).filter(m -> {
+            List<Member> fit = byGroup.get(g).stream().filter(m -> m.up).filter(m -> {
                 View.State s = view.state(m.uid, () -> true, now);
                 return s == View.State.AS_LISTED || s == View.State.COLD;
             }).toList();
@@ -400,9 +404,9 @@
                 operator(Op.workWord("done", m, "done " + asked++));
             }
             if (s == Stage.PLANNED) {
-                for (Member x : members.values()) {
-                    if (x.machine.equals(m) && x.primary) {
-                        members.values().stream().filter(y -> y.group == x.group && y != x && y.up).findFirst().ifPresent(y -> {
+                for (Member x : byMachine.getOrDefault(m, List.of())) {
+                    if (x.primary) {
+                        byGroup.get(x.group).stream().filter(y -> y != x && y.up).findFirst().ifPresent(y -> {
                             x.primary = false;
                             y.primary = true;
                         });
