The conductor learns what a group bears, and tells what is too late, unconfirmed or behind

While a machine drained and harm was seen, it was put back and tried again after three watched spans, whatever the load: the same harm again and again. One that carries on and falls behind the log by twice the bound puts the machine back too.

--- a/bench/work.sh
+++ b/bench/work.sh
@@ -12,5 +12,7 @@
   mvn -B -q dependency:build-classpath -Dmdep.outputFile=target/bench.classpath -Dmdep.includeScope=test >&2
 fi
 run="java -Xmx2g -cp target/test-classes:target/classes:$(cat target/bench.classpath)"
+$run wingroad.fleet.OwnerSim work wrong 60
 $run wingroad.fleet.OwnerSim work 0 "${3:-2000}"
+$run wingroad.fleet.OwnerSim work big
 exec $run wingroad.work.WorkBench "${1:-160}" "${2:-1}"
--- a/src/bench/java/wingroad/fleet/WorkSim.java
+++ b/src/bench/java/wingroad/fleet/WorkSim.java
@@ -10,12 +10,26 @@
     private WorkSim() {
     }
 
-    /** {@code SEED} shows one; {@code FROM COUNT} plays many on all cores and prints what broke. */
+    /**
+     * {@code SEED} shows one; {@code FROM COUNT} plays many on all cores and prints what broke; {@code wrong MOST} looks for
+     * each wrong; {@code big} has many drivers and machines.
+     */
     static void main(String[] args) {
         if (args[0].equals("big")) {
             System.out.println(big(250, 999, 64));
             return;
         }
+        if (args[0].equals("wrong")) {
+            for (Wrong w : List.of(Wrong.NONE, Wrong.NO_LEASE_ON_VIEW, Wrong.OUT_BY_MAJORITY, Wrong.ORDER_WITHOUT_EPOCH)) {
+                long seed = 0;
+                SimFleet f = play(seed, w);
+                while (f.broken.isEmpty() && seed < Long.parseLong(args[1])) {
+                    f = play(++seed, w);
+                }
+                System.out.println(w + " seed " + seed + ": " + f.broken.stream().findFirst().orElse("nothing"));
+            }
+            return;
+        }
         if (args.length == 1) {
             SimFleet f = play(Long.parseLong(args[0]), Wrong.NONE);
             System.out.println(String.join("\n", f.lines));
--- a/src/main/java/wingroad/work/Conductor.java
+++ b/src/main/java/wingroad/work/Conductor.java
@@ -22,6 +22,10 @@
     private static final double MOST_USE = 0.8;
     /** A machine that was put back for harm is looked at again after so many times the watched span. */
     private static final int REST = 3;
+    /** So many times the bound may one that carries on be behind, while a machine drains. */
+    private static final int FAR = 2;
+    /** Drivers that have not confirmed for so many watched spans are told about. */
+    private static final int PATIENCE = 6;
     /** So many times what may go at a time, and some, are looked at in one look: their members have to be asked. */
     private static final int LOOKS = 2;
     private static final int AND_SOME = 8;
@@ -32,6 +36,7 @@
 
     private final WorkRules rules;
     private final Pace pace;
+    private final Room room;
     private final Collection<String> voters;
     private final Map<String, Duration> returningSince = new TreeMap<>();
     private final Map<String, Duration> unfitSince = new HashMap<>();
@@ -39,6 +44,10 @@
     private final Map<String, String> pages = new HashMap<>();
     private final Map<Integer, Long> busyBefore = new TreeMap<>();
     private final Map<Integer, Double> use = new TreeMap<>();
+    private final Map<String, Duration> plannedSince = new HashMap<>();
+    /** Machines of which it has been told that they wait for confirmations, and that they are too late. */
+    private final Set<String> told = new HashSet<>();
+    private final Set<String> late = new HashSet<>();
     private Duration busyAt;
     /** Machines that are out, and when the last one was seen to have become so. */
     private Set<String> outs = Set.of();
@@ -53,6 +62,7 @@
         this.rules = rules;
         this.voters = voters;
         pace = new Pace(rules.watch(), rules.harm());
+        room = new Room(rules.watch());
     }
 
     /** Lines that somebody should be woken up for, each once: machine to text. */
@@ -86,18 +96,19 @@
         }
         outs = out;
         returningSince.keySet().removeIf(m -> plan.entry(m) == null || plan.entry(m).stage != Stage.RETURNING);
+        plannedSince.keySet().removeIf(m -> plan.entry(m) == null || plan.entry(m).stage != Stage.PLANNED);
+        told.retainAll(plannedSince.keySet());
+        late.removeIf(m -> plan.entry(m) == null);
         restUntil.values().removeIf(t -> now.compareTo(t) >= 0);
         for (Plan.Entry e : all) {
             Machine m = plan.machines().get(e.machine);
             if (m != null) {
                 switch (e.stage) {
-                    case PLANNED -> planned(e, m, plan, sight, now, steps);
+                    case PLANNED -> planned(e, m, plan, sight, wall, now, steps);
                     case DRAINING -> draining(e, m, sight, now, steps);
                     case OUT -> out(e, m, sight, wall, now, steps);
                     case RETURNING -> returning(e, m, sight, now, steps);
-                    default -> {
-                        // in its turn
-                    }
+                    default -> soon(e, wall, steps);
                 }
             }
         }
@@ -107,6 +118,16 @@
         return steps;
     }
 
+    /** One that has to be out before a time that it can't keep any more is told about, once; it goes on waiting. */
+    private void soon(Plan.Entry e, long wall, List<Step> steps) {
+        long least = rules.grace().plus(rules.watch()).toMillis();
+        if (e.before > 0 && wall + least > e.before && late.add(e.machine)) {
+            pages.put(e.machine, "PAGE: wanted out before " + java.time.Instant.ofEpochMilli(e.before) + " and still "
+                + e.stage.name().toLowerCase(Locale.ROOT) + (e.note.isEmpty() ? "" : ": " + e.note));
+            steps.add(new Step(e.machine, "note", e.stageAt, "PAGE: too late for its time"));
+        }
+    }
+
     /** How many txns are at members of each group at a time, from the fleet's sums. */
     private void uses(Picture plan, Duration now) {
         if (busyAt != null && now.minus(busyAt).compareTo(rules.watch().dividedBy(4)) < 0) {
@@ -126,8 +147,14 @@
         use.keySet().retainAll(plan.busy().keySet());
     }
 
-    private void planned(Plan.Entry e, Machine m, Picture plan, Sight sight, Duration now, List<Step> steps) {
+    private void planned(Plan.Entry e, Machine m, Picture plan, Sight sight, long wall, Duration now, List<Step> steps) {
+        Duration since = plannedSince.computeIfAbsent(e.machine, k -> now);
+        soon(e, wall, steps);
         if (!e.known) {
+            if (now.minus(since).compareTo(rules.watch().multipliedBy(PATIENCE)) > 0 && told.add(e.machine)) {
+                pages.put(e.machine, "PAGE: drivers have not confirmed it for " + now.minus(since).toSeconds() + " s; 'work plan' has"
+                    + " their names");
+            }
             return;
         }
         String not = whyNotDrain(e, m, plan, sight, now);
@@ -157,9 +184,13 @@
                 return "the primary of group " + g + " is here: to be moved to " + couldLead(m, g, sight, now);
             }
             List<String> left = left(m, g, sight, now);
-            double room = rules.room() * left.size() * MOST_USE;
-            if (rules.room() > 0 && use.getOrDefault(g, 0.0) > room) {
-                return String.format(Locale.ROOT, "group %d has %.1f txns at work, room for %.1f without it", g, use.get(g), room);
+            double most = rules.room() * left.size() * MOST_USE;
+            double used = use.getOrDefault(g, 0.0);
+            if (rules.room() > 0 && used > most) {
+                return String.format(Locale.ROOT, "group %d has %.1f txns at work, room for %.1f without it", g, used, most);
+            }
+            if (room.tooMuch(g, used / Math.max(1, left.size()), now)) {
+                return String.format(Locale.ROOT, "group %d has %.1f txns at work: as much as did harm without it", g, used);
             }
         }
         if (!e.unbelieved) {
@@ -208,7 +239,12 @@
 
     private void draining(Plan.Entry e, Machine m, Sight sight, Duration now, List<Step> steps) {
         String others = lasting(e.machine, othersUnfit(m, sight, now), now);
+        String late = behind(m, sight, now);
+        others = others.isEmpty() ? lasting(e.machine + " log", late, now) : others;
         if (!others.isEmpty() || pace.harms(now)) {
+            if (others.isEmpty()) {
+                m.groups().forEach(g -> room.harmed(g, use.getOrDefault(g, 0.0) / Math.max(1, left(m, g, sight, now).size()), now));
+            }
             restUntil.put(e.machine, now.plus(rules.watch().multipliedBy(REST)));
             steps.add(new Step(e.machine, Stage.ASKED.name(), e.stageAt, "put back: " + (others.isEmpty()
                 ? part(pace.part()) + " of the txns harmed, before " + part(pace.before()) : others)));
@@ -217,6 +253,19 @@
         }
     }
 
+    /** Which of the others has fallen behind the log since its machine's share came to them, or empty. */
+    private String behind(Machine m, Sight sight, Duration now) {
+        for (int g : m.groups()) {
+            for (String u : left(m, g, sight, now)) {
+                Duration behind = sight.behind(u, now);
+                if (!u.equals(sight.primary(g, now)) && behind != null && behind.compareTo(rules.lag().multipliedBy(FAR)) > 0) {
+                    return "group " + g + ": " + u + " is " + behind.toMillis() + " ms behind on the log";
+                }
+            }
+        }
+        return "";
+    }
+
     /** Only what is seen for a while: a single probe may go astray. */
     private String lasting(String machine, String what, Duration now) {
         if (what.isEmpty()) {
