--- a/src/main/java/wingroad/cli/WorkCommand.java
+++ b/src/main/java/wingroad/cli/WorkCommand.java
@@ -66,7 +66,8 @@
             for (Map.Entry<String, String> a : answers.entrySet()) {
                 boolean ok = a.getValue().isEmpty();
                 refused |= !ok;
-                System.out.println(json ? FleetCommand.text(Map.of("machine", a.getKey(), "settled", ok, "why", a.getValue()))
+                System.out.println(json ? FleetCommand.text(new java.util.TreeMap<>(Map.of("machine", a.getKey(), "settled", ok,
+                    "why", a.getValue())))
                     : a.getKey() + ": " + (ok ? "settled" : "refused: " + a.getValue()));
             }
             return refused ? REFUSED : 0;
--- a/src/main/java/wingroad/fleet/Attendant.java
+++ b/src/main/java/wingroad/fleet/Attendant.java
@@ -23,7 +23,7 @@
 final class Attendant implements Net.Owner {
     private static final Duration REFUSED_AGAIN = Duration.ofSeconds(2);
     /** A word that it leaves goes out again so soon; after so many to one voter, to the next. */
-    private static final Duration LEAVE_AGAIN = Duration.ofMillis(60);
+    private static final Duration LEAVE_AGAIN = Duration.ofMillis(40);
     private static final int LEAVE_TRIES = 3;
     /** A report is said again with each of so many beats: the one before may not have got through. */
     private static final int REPORT_BEATS = 4;
--- a/src/test/java/wingroad/fleet/SimFleetTest.java
+++ b/src/test/java/wingroad/fleet/SimFleetTest.java
@@ -37,7 +37,11 @@
 
     @Test
     void theCheckerFindsAReceiverWithoutAFence() {
-        assertThat(history(0, Wrong.NO_FENCE).broken).anyMatch(b -> b.contains("late effect accepted"));
+        List<String> broken = new ArrayList<>();
+        for (int seed = 0; seed < 10 && broken.isEmpty(); seed++) {
+            broken.addAll(history(seed, Wrong.NO_FENCE).broken);
+        }
+        assertThat(broken).anyMatch(b -> b.contains("late effect accepted"));
     }
 
     @Test
--- a/src/test/java/wingroad/work/WorkIT.java
+++ b/src/test/java/wingroad/work/WorkIT.java
@@ -638,4 +638,31 @@
         assertThat(word("done", "B")).isEmpty();
         awaitStage("B", "in");
     }
+
+    /** What a call prints, and its exit status last. */
+    private List<String> call(String... words) throws Exception {
+        List<String> command = new ArrayList<>(List.of("java", "-Xshare:auto", "-XX:TieredStopAtLevel=1", "-jar", "target/wingroad.jar",
+            "work"));
+        command.addAll(List.of(words));
+        command.addAll(List.of("--operator", rig.driver("d1").operator().toString()));
+        Process p = new ProcessBuilder(command).redirectErrorStream(true).start();
+        List<String> lines = new ArrayList<>(p.inputReader().lines().toList());
+        lines.add("exit " + p.waitFor());
+        return lines;
+    }
+
+    @Test
+    void operatorsAskByTheCommandLine() throws Exception {
+        start(RULES);
+        assertThat(call("ask", "B", "Z", "--for", "20m", "--why", "kernel")).containsExactly("B: settled",
+            "Z: refused: there is no machine 'Z'", "exit 1");
+        awaitStage("B", "out");
+        assertThat(call("plan")).anyMatch(l -> l.matches(" +B +out +kernel; waits: work on it")).contains("exit 0");
+        assertThat(call("show", "B")).anyMatch(l -> l.contains("members [m2*#7], drivers [d4]")).anyMatch(l -> l.endsWith(
+            "B out: nothing of anybody's is there"));
+        assertThat(call("done", "B", "--json")).containsExactly("{\"machine\":\"B\",\"settled\":true,\"why\":\"\"}", "exit 0");
+        awaitStage("B", "in");
+        assertThat(call("hold")).contains("exit 2");
+        assertThat(call("ask", "B", "--for", "soon")).contains("exit 2");
+    }
 }
