One that hears nothing but is heard loses its duties; an owner knows a list that came before its fleet

Lines at fault: Attendant.up and askAll asked on a connection on which nothing had been heard. Nothing is asked before the voter's "here" now; the test of the one-way cut waits for a successor while the cut lasts (before it only waited for the lease's end).

The owner did publish (60 bytes every 187 ms by the socket's counters), under version 0: discovery's list 1 had come at 01:10:18.7, its fleet's part began at 01:10:19.9, and ListDesk began with the version of the configuration. It begins with what discovery's side holds. Test: FleetIT, list told before the start.

One test killed two voters before the driver it looks at had a lease; it waits for that now.

--- a/src/main/java/wingroad/driver/Discovery.java
+++ b/src/main/java/wingroad/driver/Discovery.java
@@ -55,6 +55,11 @@
         }
     }
 
+    /** The newest version that is held. */
+    long holds() {
+        return version;
+    }
+
     /** This version has been learnt elsewhere: a watch goes on from there. */
     void holds(long newer) {
         version = Math.max(version, newer);
--- a/src/main/java/wingroad/driver/FleetPart.java
+++ b/src/main/java/wingroad/driver/FleetPart.java
@@ -27,7 +27,7 @@
     static FleetPart begin(FleetRules rules, Loop loop, Clock clock, Exchange exchange, Discovery discovery, Commission commission,
                            boolean follows, Consumer<MemberList> learn, WorkDesk work, Log log) throws IOException {
         ListDesk lists = rules.listCheck() == null || !follows ? null
-            : new ListDesk(loop, clock, discovery, rules, commission.known().version(), learn, log::line);
+            : new ListDesk(loop, clock, discovery, rules, discovery.holds(), learn, log::line);
         ChoreDesk desk = new ChoreDesk(loop, exchange, Terms.of(commission.settings()));
         Fleet fleet = Fleet.begin(rules.named(commission.name()), log::line, log::fault, desk, (epoch, m) -> {
             if (lists != null) {
--- a/src/main/java/wingroad/fleet/Attendant.java
+++ b/src/main/java/wingroad/fleet/Attendant.java
@@ -54,6 +54,11 @@
     private Tenure tenure;
     private Wire wire;
     private boolean up;
+    /**
+     * The voter has been heard on this connection. Before that nothing is asked there: one that hears nothing but is heard would
+     * keep its session, and its duties, that it can't act under.
+     */
+    private boolean greeted;
     private int at;
     private Duration heardAt;
     private Duration openAt = Duration.ZERO;
@@ -111,7 +116,7 @@
     }
 
     private void sendReport() {
-        if (up && opened && report != null) {
+        if (greeted && opened && report != null) {
             // At rest, with no machine asked for, it is heard often enough by far less.
             reportIn = report.busy().isEmpty() && ++reports > REPORTS ? REST_BEATS : REPORT_BEATS;
             wire.send(Words.letter("report", "line", report.line(tenure.session())));
@@ -188,13 +193,13 @@
     /** Hands something on, if the duty is this driver's at this time. */
     void publish(String duty, Map<String, Object> what) {
         Tenure.Held h = tenure.known(duty);
-        if (up && h != null && tenure.mayAct(duty, h.epoch(), host.now())) {
+        if (greeted && h != null && tenure.mayAct(duty, h.epoch(), host.now())) {
             wire.send(Words.letter("publish", "duty", duty, "epoch", h.epoch(), "what", what));
         }
     }
 
     private void send(Op op) {
-        if (up) {
+        if (greeted) {
             wire.send(Words.letter("ask", "op", Words.of(op)));
         }
     }
@@ -226,9 +231,9 @@
 
     /** All that is to be settled, once more. */
     private void askAll() {
-        if (up && leaving) {
+        if (greeted && leaving) {
             send(Op.leave(tenure.session()));
-        } else if (up) {
+        } else if (greeted) {
             if (!opened) {
                 send(Op.open(tenure.session(), identity, rules.duties()));
             }
@@ -277,6 +282,7 @@
         }
         wire = null;
         up = false;
+        greeted = false;
     }
 
     @Override
@@ -284,7 +290,6 @@
         up = true;
         w.send(Words.letter("hello", "fleet", rules.name(), "name", rules.driver(), "role", "driver", "identity", identity,
             "run", run()));
-        askAll();
     }
 
     /** The voters as they are now: those of the file, and what was changed since. */
@@ -311,7 +316,13 @@
     @Override
     public void letter(Wire w, Map<String, Object> m) {
         switch (Words.text(m, "k")) {
-            case "here" -> voters(m.get("voters"));
+            case "here" -> {
+                voters(m.get("voters"));
+                if (!greeted) {
+                    greeted = true;
+                    askAll();
+                }
+            }
             case "settled" -> settled(m);
             case "plan" -> {
                 if (worker != null && Words.number(m, "of") >= planOf) {
@@ -395,7 +406,7 @@
         tenure = tenures.apply(rules.driver() + "/" + runs.get());
         old.known().forEach(tenure::told);
         host.log("fleet: the council has ended " + old.session() + "; opens " + tenure.session());
-        if (up) {
+        if (greeted) {
             wire.send(Words.letter("again", "run", run()));
             send(Op.open(tenure.session(), identity, rules.duties()));
         }
--- a/src/test/java/wingroad/fleet/FleetIT.java
+++ b/src/test/java/wingroad/fleet/FleetIT.java
@@ -146,6 +146,8 @@
         int from = owner.lines();
         rig.cutOneWay(owner.name, false, true);
         owner.await(from, l -> l.contains("has run out"));
+        // Guards against a session that is renewed by an owner that does not hear of it: its duties stood still meanwhile.
+        assertThat(runner(successor(e))).isNotSameAs(owner);
         rig.cutOneWay(owner.name, false, false);
         owner.await(from, l -> l.contains("lease of") && l.contains("runs"));
         member.await(member.entries(), x -> x.chore().equals("a"));
@@ -207,9 +209,10 @@
     void withoutAMajorityNobodyGainsADutyAndClientsAreServedOn() throws Exception {
         start(4, 3);
         first("a");
+        Rig.Driver left = rig.driver("d4");
+        left.await("lease of d4/");
         rig.driver("d1").kill();
         rig.driver("d2").kill();
-        Rig.Driver left = rig.driver("d4");
         left.await("has run out");
         int seen = member.entries();
         try (Client c = new Client(left.port())) {
@@ -253,6 +256,16 @@
         nothingWrong();
     }
 
+    /** Guards against an owner that does not know of a list that came before its fleet's part had begun: nobody went by it. */
+    @Test
+    void aListThatComesBeforeTheFleetHasBegunIsKnownToItsOwner() throws Exception {
+        rig = new Rig(dir, 4, 3, RULES + "    list check=600\n", Given.SETTINGS);
+        member = rig.member("m1", 7, true, true);
+        rig.discovery.tell(rig.entry("d1", member, "ready"));
+        rig.startAll();
+        awaitFollowers(3);
+    }
+
     /** Waits until so many drivers that live go by the owner of the list. */
     private List<Rig.Driver> awaitFollowers(int count) throws InterruptedException {
         for (int i = 0; i < 400; i++) {
