--- a/src/test/java/wingroad/driver/DriverIT.java
+++ b/src/test/java/wingroad/driver/DriverIT.java
@@ -23,6 +23,7 @@
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.parallel.Isolated;
 import org.junit.jupiter.api.io.TempDir;
 import wingroad.Given;
 import wingroad.Given.Client;
@@ -30,6 +31,7 @@
 import wingroad.Given.StandInMember;
 
 /** Starts the packaged program as deploy/balancer.toml does, and speaks to it over sockets. */
+@Isolated
 class DriverIT {
     @TempDir
     Path dir;
