Discovery: a reset is no end of a list, and a watch that goes quiet is missed after 3 s, not 21

Lines at fault, in Discovery: WAIT of 20 s, also where an agent of the driver's own machine answers at no cost; Call.begin gave a new connection 21 s to be up; Call.lost left an unproven watch to the module, which pauses up to 3.75 s where what the agent has counts as told meanwhile; Call.ended took a body without a length as whole after a reset; bytes behind an answer stood for the next one; a fetched older list and changes of a lower version were taken; an agent that refused was asked without a pause where settings name no ask-within. Change: watches of an agent wait 2 s, of a shared discovery 20 s as before; 1 s to be up; a lost watch of an agent is opened again at once, or after 100 ms where it was lost at once; Link.Owner.ended says whether the other side ended its stream in order; the rest as above.

--- a/src/main/java/wingroad/driver/ClientLink.java
+++ b/src/main/java/wingroad/driver/ClientLink.java
@@ -312,7 +312,7 @@
 
     void close() {
         link.close();
-        ended(0, null);
+        ended(0, false, null);
     }
 
     @Override
@@ -325,7 +325,7 @@
     }
 
     @Override
-    public void ended(int unwritten, String how) {
+    public void ended(int unwritten, boolean orderly, String how) {
         if (txn != null) {
             side.lapsed(txn);
             settled();
--- a/src/main/java/wingroad/driver/Discovery.java
+++ b/src/main/java/wingroad/driver/Discovery.java
@@ -11,10 +11,20 @@
 import wingroad.transport.Link;
 import wingroad.transport.Loop;
 
-/** Asks discovery for the member list: a watch that goes on, and the whole list once. */
+/**
+ * Asks discovery for the member list: a watch that goes on, and the whole list once. Where lists are pushed, an agent of the
+ * driver's own machine answers, at no cost, and what it has counts as told whether or not a watch is open: a watch that is
+ * lost is opened again by itself, and one that has fallen silent is missed soon. Where the list must be asked for, each call
+ * is paid for by all drivers, and the module says when there is to be another.
+ */
 final class Discovery implements Exchange.Lists {
-    /** How long a watch may wait for news, and how much longer its answer may take. */
-    private static final Duration WAIT = Duration.ofSeconds(20);
+    /**
+     * How long a watch may wait for news. What a silent one misses counts as told 6 s after it fell silent, or 2 s after its
+     * wait where that is later: with the short wait it is missed after 3 s at most, and the new one has its answer in time.
+     */
+    private static final Duration WAIT_OF_AGENT = Duration.ofSeconds(2);
+    private static final Duration WAIT_WHERE_SHARED = Duration.ofSeconds(20);
+    /** How long a connection may take to be up, and how much longer than its wait an answer may take. */
     private static final Duration GRACE = Duration.ofSeconds(1);
     /** Half of the time within which a watch must be asked on. */
     private static final Duration PAUSE = Duration.ofMillis(100);
@@ -22,19 +32,28 @@
     private final Loop loop;
     private InetSocketAddress at;
     private final Tally tally;
+    private final boolean asked;
+    private final Duration wait;
     private final Consumer<MemberList> news;
     private final Runnable failed;
     private long version;
     private Call watch;
     private Call fetch;
+    /** A watch is to be opened, but not at once; else null. */
+    private Loop.Timer again;
 
-    /** {@code news} gets each list that comes; {@code failed} hears of each call that gave none. */
-    Discovery(Loop loop, InetSocketAddress at, long version, Tally tally, Consumer<MemberList> news,
+    /**
+     * {@code asked}: the list must be asked for. {@code news} gets each list that comes; {@code failed} hears of each call
+     * that gave none and is not made again from here.
+     */
+    Discovery(Loop loop, InetSocketAddress at, long version, Tally tally, boolean asked, Consumer<MemberList> news,
               Runnable failed) {
         this.loop = loop;
         this.at = at;
         this.version = version;
         this.tally = tally;
+        this.asked = asked;
+        this.wait = asked ? WAIT_WHERE_SHARED : WAIT_OF_AGENT;
         this.news = news;
         this.failed = failed;
     }
@@ -42,14 +61,28 @@
     /** Follows the changes from now on; a watch that stands goes on. */
     @Override
     public void follow() {
+        waitNoMore();
         if (watch == null) {
             watch = new Call(true);
             watch.begin();
         }
     }
 
+    private void followAfter(Duration pause) {
+        waitNoMore();
+        again = loop.after(pause, this::follow);
+    }
+
+    private void waitNoMore() {
+        if (again != null) {
+            again.cancel();
+            again = null;
+        }
+    }
+
     /** A watch that stands is given up; what is held stays held. */
     void followNoMore() {
+        waitNoMore();
         if (watch != null) {
             watch.end();
         }
@@ -82,10 +115,10 @@
             return;
         }
         at = next;
-        boolean watches = watch != null;
+        boolean watches = watch != null || again != null;
         boolean fetches = fetch != null;
         if (watches) {
-            watch.end();
+            followNoMore();
             follow();
         }
         if (fetches) {
@@ -109,17 +142,17 @@
         }
 
         void begin() {
+            askedAt = loop.now();
             try {
                 link = Link.open(loop, at, this, 64 * 1024);
             } catch (IOException | RuntimeException e) {
                 loop.run(() -> lost("cannot open: " + e.getMessage()));
                 return;
             }
-            await();
+            await(GRACE);
         }
 
-        private void await() {
-            Duration most = watches ? WAIT.plus(GRACE) : GRACE;
+        private void await(Duration most) {
             timer = loop.after(most, this::silent);
         }
 
@@ -131,8 +164,8 @@
         private void ask() {
             askedAt = loop.now();
             timer.cancel();
-            await();
-            String path = "/discovery/hosts" + (watches ? "?since=" + version + "&timeout_ms=" + WAIT.toMillis() : "");
+            await(watches ? wait.plus(GRACE) : GRACE);
+            String path = "/discovery/hosts" + (watches ? "?since=" + version + "&timeout_ms=" + wait.toMillis() : "");
             link.send(HttpReply.request(at.getHostString() + ":" + at.getPort(), path));
         }
 
@@ -140,39 +173,65 @@
         public void bytes(ByteBuffer in) {
             HttpReply.State s = reply.take(in);
             if (s == HttpReply.State.WHOLE) {
-                answered();
+                // Guards against an answer that comes twice: the second would stand for the answer to the next call.
+                answered(reply.closes() || in.hasRemaining());
             } else if (s == HttpReply.State.BROKEN) {
                 lost(reply.why());
             }
         }
 
-        private void answered() {
+        /** {@code last}: this connection is of no further use. */
+        private void answered(boolean last) {
             timer.cancel();
             MemberList.Parsed p = reply.status() == 200 ? MemberList.parse(reply.body())
                 : new MemberList.Parsed(null, "status " + reply.status());
-            if (p.list() == null) {
+            MemberList list = p.list();
+            if (list == null) {
                 lost(p.why());
                 return;
             }
-            version = p.list().version();
+            if (list.version() < version && !watches && watch != null) {
+                // The watch has overtaken it: what is held is newer.
+                end();
+                return;
+            }
+            if (list.version() < version && !list.whole()) {
+                // Whoever counts anew from a lower number knows nothing of what is held: only a whole list can follow.
+                version = 0;
+                lost("changes older than what is held");
+                return;
+            }
+            boolean news = list.version() > version;
+            version = list.version();
             proven = true;
-            boolean closes = reply.closes();
-            if (watches && !closes) {
+            if (!watches) {
+                end();
+            } else if (last) {
+                end();
+                next(news);
+            } else {
                 // The next call is out before the news is told: nothing that changes falls between two calls.
                 reply = new HttpReply();
-                if (p.list().entries().isEmpty() && loop.now() - askedAt < PAUSE.toNanos()) {
-                    // Guards against spinning where a watch does not wait; short enough for it to go on.
-                    timer = loop.after(PAUSE, this::ask);
-                } else {
+                if (news || !atOnce()) {
                     ask();
+                } else {
+                    timer = loop.after(PAUSE, this::ask);
                 }
+            }
+            Discovery.this.news.accept(list);
+        }
+
+        /** Its answer or end came as soon as it was asked: it does not wait, and would be asked without a pause. */
+        private boolean atOnce() {
+            return loop.now() - askedAt < PAUSE.toNanos();
+        }
+
+        private void next(boolean atOnce) {
+            if (atOnce || !atOnce()) {
+                follow();
             } else {
-                end();
-                if (watches) {
-                    follow();
-                }
+                followAfter(PAUSE);
             }
-            news.accept(p.list());
         }
 
         /** No answer at all: whoever is there is asked anew at once, since a call that stands costs nothing. */
@@ -190,9 +249,9 @@
             if (!over) {
                 tally.count("discovery " + how);
                 end();
-                if (proven && watches) {
+                if (watches && (proven || !asked)) {
                     // The connection is worn out, not discovery: what it holds counts as told, so ask at once.
-                    follow();
+                    next(false);
                 } else {
                     failed.run();
                 }
@@ -205,9 +264,10 @@
         }
 
         @Override
-        public void ended(int unwritten, String how) {
-            if (reply.end() == HttpReply.State.WHOLE) {
-                answered();
+        public void ended(int unwritten, boolean orderly, String how) {
+            // A reset is no end: what came before it may be half of a list that looks whole.
+            if (orderly && reply.end() == HttpReply.State.WHOLE) {
+                answered(true);
             } else {
                 lost(how);
             }
--- a/src/main/java/wingroad/driver/Driver.java
+++ b/src/main/java/wingroad/driver/Driver.java
@@ -83,7 +83,7 @@
         clients = new Clients(loop, exchange, tally, c.names("grades"), terms,
             g -> groups.isEmpty() || groups.contains(g));
         members = new Members(loop, clock, tally, terms, exchange);
-        discovery = new Discovery(loop, c.discovery(), c.known().version(), tally, this::found,
+        discovery = new Discovery(loop, c.discovery(), c.known().version(), tally, asked, this::found,
             () -> exchange.router().listFailed(clock.now()));
         exchange.meet(members, discovery, clients::closeOneIdle);
         work = operator == null || operator.fleet() == null || operator.fleet().work() == null ? null
--- a/src/main/java/wingroad/driver/MemberLink.java
+++ b/src/main/java/wingroad/driver/MemberLink.java
@@ -195,7 +195,7 @@
     }
 
     @Override
-    public void ended(int unwritten, String how) {
+    public void ended(int unwritten, boolean orderly, String how) {
         Reach reach = reach();
         if (reach == Reach.PARTLY_WRITTEN && unwritten == 0) {
             reach = Reach.WRITTEN;
--- a/src/main/java/wingroad/fleet/LoopNet.java
+++ b/src/main/java/wingroad/fleet/LoopNet.java
@@ -32,7 +32,7 @@
         try {
             line.link = Link.open(loop, address(address), line, LONGEST + 4);
         } catch (IOException | RuntimeException e) {
-            loop.run(() -> line.ended(0, "cannot open: " + e.getMessage()));
+            loop.run(() -> line.ended(0, false, "cannot open: " + e.getMessage()));
         }
         return line;
     }
@@ -120,7 +120,7 @@
         }
 
         @Override
-        public void ended(int unwritten, String how) {
+        public void ended(int unwritten, boolean orderly, String how) {
             end(how);
         }
 
--- a/src/main/java/wingroad/transport/Link.java
+++ b/src/main/java/wingroad/transport/Link.java
@@ -43,9 +43,10 @@
 
         /**
          * The connection is no more, and not by the owner's own closing. {@code unwritten}: how many of the bytes
-         * handed over were certainly not written.
+         * handed over were certainly not written. {@code orderly}: the other side said that no more comes; where it
+         * did not, as at a reset, what has come may be a part of it.
          */
-        void ended(int unwritten, String how);
+        void ended(int unwritten, boolean orderly, String how);
     }
 
     private final Loop loop;
@@ -69,6 +70,7 @@
     private boolean closed;
     /** Why it broke, while a write that is out must still tell how far it came. */
     private String broken;
+    private boolean orderly;
     private boolean told;
 
     private Link(Loop loop, AsynchronousSocketChannel channel, Owner owner, int bound) {
@@ -222,6 +224,7 @@
     private void haveRead(int count) {
         reading = false;
         if (count < 0) {
+            orderly = !closed;
             breaks("ended by the other side");
             return;
         }
@@ -337,7 +340,7 @@
                 unwritten += b.remaining();
             }
             int left = unwritten;
-            guarded(() -> owner.ended(left, broken));
+            guarded(() -> owner.ended(left, orderly, broken));
         }
     }
 
--- /dev/null
+++ b/src/test/java/wingroad/rig/Peer.java
@@ -0,0 +1,135 @@
+package wingroad.rig;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.net.SocketException;
+import java.net.SocketTimeoutException;
+import java.nio.charset.StandardCharsets;
+
+/**
+ * The far end of one connection, driven by the test's own thread: it reads, writes, trickles, ends its side and resets when
+ * the test says so, and at no other time. What is waited for is bounded.
+ */
+public final class Peer implements AutoCloseable {
+    private static final int PATIENCE_MS = 20_000;
+
+    private final Socket socket;
+
+    private Peer(Socket socket) throws IOException {
+        this.socket = socket;
+        socket.setTcpNoDelay(true);
+        socket.setSoTimeout(PATIENCE_MS);
+    }
+
+    /** A port on which connections are taken one by one, when the test asks for the next. */
+    public static final class Listener implements AutoCloseable {
+        private final ServerSocket door = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
+
+        public Listener() throws IOException {
+            door.setSoTimeout(PATIENCE_MS);
+        }
+
+        public int port() {
+            return door.getLocalPort();
+        }
+
+        public Peer accept() throws IOException {
+            return new Peer(door.accept());
+        }
+
+        /** Whether nobody comes for so long: only for what must not happen. */
+        public boolean nobodyFor(int ms) throws IOException {
+            door.setSoTimeout(ms);
+            try {
+                door.accept().close();
+                return false;
+            } catch (SocketTimeoutException nobody) {
+                return true;
+            } finally {
+                door.setSoTimeout(PATIENCE_MS);
+            }
+        }
+
+        @Override
+        public void close() throws IOException {
+            door.close();
+        }
+    }
+
+    /** Opens a connection from here, as a client does. */
+    public static Peer to(int port) throws IOException {
+        return new Peer(new Socket(InetAddress.getLoopbackAddress(), port));
+    }
+
+    /** What comes up to and with these bytes. */
+    public String until(String end) throws IOException {
+        ByteArrayOutputStream all = new ByteArrayOutputStream();
+        while (!all.toString(StandardCharsets.ISO_8859_1).endsWith(end)) {
+            int b = socket.getInputStream().read();
+            assertThat(b).as("after " + all.toString(StandardCharsets.ISO_8859_1)).isNotNegative();
+            all.write(b);
+        }
+        return all.toString(StandardCharsets.ISO_8859_1);
+    }
+
+    public byte[] read(int count) throws IOException {
+        byte[] bytes = socket.getInputStream().readNBytes(count);
+        assertThat(bytes).hasSize(count);
+        return bytes;
+    }
+
+    public Peer send(byte[]... parts) throws IOException {
+        for (byte[] p : parts) {
+            socket.getOutputStream().write(p);
+        }
+        return this;
+    }
+
+    public Peer send(String text) throws IOException {
+        return send(text.getBytes(StandardCharsets.ISO_8859_1));
+    }
+
+    /** One byte at a time, each in a packet of its own. */
+    public Peer trickle(byte[] bytes) throws IOException {
+        for (byte b : bytes) {
+            socket.getOutputStream().write(b);
+        }
+        return this;
+    }
+
+    /** Ends its own side only: what comes is still read. */
+    public Peer endOutput() throws IOException {
+        socket.shutdownOutput();
+        return this;
+    }
+
+    /** The connection breaks: a reset goes out, and what was not read there may be lost. */
+    public void reset() throws IOException {
+        socket.setSoLinger(true, 0);
+        socket.close();
+    }
+
+    /** All that comes until the other side ends; it must not break. */
+    public byte[] rest() throws IOException {
+        return socket.getInputStream().readAllBytes();
+    }
+
+    /** Waits until the other side has ended or broken the connection, whatever comes before. */
+    public void awaitEnd() throws IOException {
+        try {
+            rest();
+        } catch (SocketException reset) {
+            // that is an end as well
+        }
+    }
+
+    @Override
+    public void close() throws IOException {
+        socket.close();
+    }
+}
--- a/src/test/java/wingroad/transport/LinkTest.java
+++ b/src/test/java/wingroad/transport/LinkTest.java
@@ -48,7 +48,7 @@
             }
 
             @Override
-            public void ended(int unwritten, String how) {
+            public void ended(int unwritten, boolean orderly, String how) {
                 heard.add(unwritten > 0 ? "ended, unwritten" : "ended, all written");
             }
         };
