Member side: a connection to where a member no longer is carries nothing more

MemberLink now remembers where it leads and ends with its answer; one that never came up there counts as never run and is not held against the member. A quarter of the idle time was never a guard where the connecting time is longer than the idle time: connections closed at once; at least half of the idle time is used now.

--- a/src/main/java/wingroad/driver/MemberLink.java
+++ b/src/main/java/wingroad/driver/MemberLink.java
@@ -17,6 +17,7 @@
 
     private final Members side;
     private final Members.Place place;
+    private final InetSocketAddress to;
     private final Loop loop;
     private final MemberInput input = new MemberInput();
     private Link link;
@@ -26,20 +27,23 @@
     private Duration since;
     /** Whether the errand's last byte is known to be written. */
     private boolean written;
+    /** Its errand is not wanted any more; that is told in a moment. */
+    private boolean calledOff;
     private Loop.Timer startTimer;
     private Loop.Timer errandTimer;
     private Loop.Timer idleTimer;
 
-    private MemberLink(Members side, Members.Place place, Loop loop) {
+    private MemberLink(Members side, Members.Place place, InetSocketAddress to, Loop loop) {
         this.side = side;
         this.place = place;
+        this.to = to;
         this.loop = loop;
     }
 
     /** Opens one for an errand, which waits until the member has let it in. */
     static MemberLink open(Members side, Members.Place place, InetSocketAddress to, Loop loop, Duration wait,
                            Errand first) throws IOException {
-        MemberLink m = new MemberLink(side, place, loop);
+        MemberLink m = new MemberLink(side, place, to, loop);
         m.link = Link.open(loop, to, m, MemberInput.MOST + 1024);
         m.startTimer = loop.after(wait, () -> m.giveUp("not up in time", End.UNREACHABLE));
         m.takeOn(first);
@@ -56,6 +60,7 @@
 
     private void takeOn(Errand e) {
         errand = e;
+        calledOff = false;
         since = side.now();
         errandTimer = loop.after(e.until().minus(since), () -> giveUp("no answer in time", reach().timedOut()));
     }
@@ -153,7 +158,7 @@
 
     /** A connection may have taken its time to open, or to rest. */
     private void sendIfStillToGo() {
-        if (side.mayStillGo(errand)) {
+        if (!calledOff && place.isAt(to) && side.mayStillGo(errand)) {
             sendOut();
         } else {
             Errand late = errand;
@@ -174,8 +179,13 @@
         }
     }
 
+    /** It may be used again, unless its member has moved or gone while it was at work. */
     private void idle() {
         stage = Stage.RESTING;
+        if (!place.isAt(to)) {
+            close();
+            return;
+        }
         since = side.now();
         idleTimer = loop.after(side.idleTime(), this::close);
         place.idle(this);
@@ -227,20 +237,31 @@
             side.answered(e, answer(e), side.now().minus(since));
         } else if (e != null) {
             boolean turnedAway = was == Stage.STARTING && Answer.TURNED_AWAY.equals(input.error());
-            side.failed(e, turnedAway ? End.FULL : reach.lost(), side.now().minus(since), how);
+            side.failed(e, turnedAway ? End.FULL : movedAway(was) ? End.MOOT : reach.lost(), side.now().minus(since), how);
         }
     }
 
     private void giveUp(String how, End end) {
         if (stage != Stage.CLOSED) {
             Errand e = errand;
+            Stage was = stage;
             shut();
             if (e != null) {
-                side.failed(e, end, side.now().minus(since), how);
+                side.failed(e, movedAway(was) ? End.MOOT : end, side.now().minus(since), how);
             }
         }
     }
 
+    /** It never came up, where its member is no longer: no fault of the member's. */
+    private boolean movedAway(Stage was) {
+        return (was == Stage.CONNECTING || was == Stage.STARTING) && !place.isAt(to);
+    }
+
+    /** Guards against sending what is given up, should the connection come up before the end is told. */
+    void toBeCalledOff() {
+        calledOff = true;
+    }
+
     /** Stops waiting for its errand. */
     void callOff() {
         giveUp("called off", reach().calledOff());
--- a/src/main/java/wingroad/driver/Members.java
+++ b/src/main/java/wingroad/driver/Members.java
@@ -1,5 +1,7 @@
 package wingroad.driver;
 
+import static wingroad.state.Spans.max;
+
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.time.Duration;
@@ -50,6 +52,8 @@
         final long id;
         private final String uid;
         private InetSocketAddress address;
+        /** It is gone, or nobody thinks of it any more. */
+        private boolean over;
         private final Set<MemberLink> links = new LinkedHashSet<>();
         private final ArrayDeque<MemberLink> idle = new ArrayDeque<>();
 
@@ -62,6 +66,11 @@
             idle.add(link);
         }
 
+        /** Whether it is still there: a connection to anywhere else carries nothing new. */
+        boolean isAt(InetSocketAddress to) {
+            return !over && to.equals(address);
+        }
+
         void closed(MemberLink link) {
             links.remove(link);
             idle.remove(link);
@@ -92,8 +101,10 @@
         this.tally = tally;
         this.results = results;
         this.connectTime = (Duration) terms.get("connect-time-out");
-        // Closed from here a connecting time before the member may: no request crosses its closing.
-        this.idleTime = ((Duration) terms.get("idle-time")).minus(connectTime);
+        // Closed from here a connecting time before the member may: no request crosses its closing. Where that is most of
+        // the time that there is, half of it: connections that are never used again cost the members more.
+        Duration idle = (Duration) terms.get("idle-time");
+        this.idleTime = max(idle.minus(connectTime), idle.dividedBy(2));
     }
 
     Clock clock() {
@@ -120,6 +131,7 @@
             p.address = new InetSocketAddress(e.host(), e.port());
             p.closeIdle();
         }
+        p.over = e.gone();
         if (e.gone()) {
             p.closeIdle();
         }
@@ -131,6 +143,7 @@
         byId.values().removeIf(p -> {
             boolean over = !known.test(p.id);
             if (over) {
+                p.over = true;
                 p.closeIdle();
                 byUid.remove(p.uid);
             }
@@ -214,6 +227,8 @@
             for (MemberLink link : p.links) {
                 Errand e = link.errand();
                 if (e != null && txn.equals(e.txn()) && e.submission() == submission) {
+                    // Its end is an input to the module, which is in the middle of its decisions: told a task later.
+                    link.toBeCalledOff();
                     loop.run(() -> {
                         if (link.errand() == e) {
                             link.callOff();
@@ -277,6 +292,11 @@
         }
     }
 
+    /** How many members are thought of. */
+    int count() {
+        return byId.size();
+    }
+
     int connections() {
         int n = 0;
         for (Place p : byId.values()) {
--- a/src/test/java/wingroad/driver/MembersTest.java
+++ b/src/test/java/wingroad/driver/MembersTest.java
@@ -16,6 +16,7 @@
 import java.util.Map;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
@@ -23,6 +24,7 @@
 import wingroad.Given.StandInMember;
 import wingroad.protocol.MemberList;
 import wingroad.protocol.Statement;
+import wingroad.rig.Peer;
 import wingroad.state.Submission.End;
 import wingroad.transport.Loop;
 
@@ -344,4 +346,146 @@
             assertThat(m.connections.get()).isEqualTo(2);
         }
     }
+
+    /** A list names the member at this port. */
+    private void listed(int port) {
+        loop.run(() -> members.listed(MemberList.parse(("{\"rev\":1,\"all\":true,\"targets\":[" + entry("s-moves", port, "ready")
+            + "]}").getBytes(StandardCharsets.UTF_8)).list().entries().get(0)));
+    }
+
+    private void carryToTheOne() {
+        loop.run(() -> members.carry(new Exchange.Errand("t", submissions, 1, Statement.parse(wingroad.Given.read("r"
+            + submissions++).getBytes(StandardCharsets.UTF_8)).statement(), clock.now().plus(LONG))));
+    }
+
+    /** Guards against a connection that was at work while its member moved, and would be used for all that follows. */
+    @Test
+    void aConnectionAtWorkWhileItsMemberMovesAnswersAndIsNotUsedAgain() throws Exception {
+        try (Peer.Listener old = new Peer.Listener(); StandInMember moved = new StandInMember(false, (sql, s) -> s.row("new", false))) {
+            listed(old.port());
+            carryToTheOne();
+            Peer at = old.accept();
+            at.read(startupLength(at) - 4);
+            at.send(message('R', new byte[4]), READY);
+            at.until("'\0");
+            listed(moved.port());
+            at.send(message('T', DESCRIPTION), message('D', column("old")), message('C', text("SELECT 1")), READY);
+            assertThat(new String(next().row(), StandardCharsets.ISO_8859_1)).contains("old");
+            at.awaitEnd();
+            carryToTheOne();
+            assertThat(new String(next().row(), StandardCharsets.ISO_8859_1)).contains("new");
+        }
+    }
+
+    private static int startupLength(Peer at) throws IOException {
+        return java.nio.ByteBuffer.wrap(at.read(4)).getInt();
+    }
+
+    /** The connection comes up at last where the member no longer is: nothing is sent there, and nothing is held against it. */
+    @Test
+    void aConnectionThatOpensWhileItsMemberMovesSendsNothing() throws Exception {
+        try (Peer.Listener old = new Peer.Listener()) {
+            for (boolean comesUp : new boolean[] {true, false}) {
+                listed(old.port());
+                carryToTheOne();
+                Peer at = old.accept();
+                at.read(startupLength(at) - 4);
+                listed(1);
+                if (comesUp) {
+                    at.send(message('R', new byte[4]), READY);
+                } else {
+                    at.reset();
+                }
+                assertThat(next().end()).isEqualTo(End.MOOT);
+                if (comesUp) {
+                    assertThat(at.awaitEnd()).doesNotContain("Q");
+                }
+            }
+        }
+    }
+
+    /** Guards against resting connections to what has gone, or is no longer thought of, while a txn was there. */
+    @Test
+    void aConnectionAtWorkWhileItsMemberIsForgottenEndsWithItsAnswer() throws Exception {
+        try (Peer.Listener old = new Peer.Listener()) {
+            listed(old.port());
+            carryToTheOne();
+            Peer at = old.accept();
+            at.read(startupLength(at) - 4);
+            at.send(message('R', new byte[4]), READY);
+            at.until("'\0");
+            loop.run(() -> members.forget(id -> false));
+            at.send(message('T', DESCRIPTION), message('D', column("x")), message('C', text("SELECT 1")), READY);
+            assertThat(next().end()).isEqualTo(End.COMMITTED);
+            at.awaitEnd();
+        }
+    }
+
+    /** Its end is told a task later; in between the connection comes up. */
+    @Test
+    void whatIsCalledOffAsItsConnectionComesUpIsNotSent() throws Exception {
+        try (Peer.Listener member = new Peer.Listener()) {
+            listed(member.port());
+            carryToTheOne();
+            Peer at = member.accept();
+            at.read(startupLength(at) - 4);
+            CountDownLatch standing = new CountDownLatch(1);
+            CountDownLatch goes = new CountDownLatch(1);
+            loop.run(() -> {
+                standing.countDown();
+                try {
+                    goes.await();
+                } catch (InterruptedException e) {
+                    Thread.currentThread().interrupt();
+                }
+                members.callOff("t", 0);
+            });
+            standing.await();
+            at.send(message('R', new byte[4]), READY);
+            goes.countDown();
+            assertThat(next().end()).isEqualTo(End.MOOT);
+            loop.run(() -> members.forget(id -> false));
+            assertThat(at.awaitEnd()).doesNotContain("Q");
+        }
+    }
+
+    /** An answer broken off at each of its bytes may have run; once its end is there, it counts. */
+    @Test
+    void anAnswerBrokenOffAtAnyByteHasOneEnd() throws Exception {
+        byte[] answer = wingroad.Given.joined(message('T', DESCRIPTION), message('D', column("x")), message('C', text("SELECT 1")),
+            READY);
+        int whole = answer.length - READY.length;
+        for (int bytes = 0; bytes <= answer.length; bytes += 5) {
+            byte[] part = java.util.Arrays.copyOf(answer, bytes);
+            assertThat(end((sql, s) -> {
+                s.raw(part);
+                s.end();
+            }).end()).as(bytes + " bytes").isEqualTo(bytes >= whole ? End.COMMITTED : End.RESET);
+        }
+        assertThat(ends).isEmpty();
+    }
+
+    /** Half a line comes unasked on a resting connection: it is in doubt, and the next txn gets one of its own. */
+    @Test
+    void halfALineUnaskedEndsARestingConnection() throws Exception {
+        try (Peer.Listener member = new Peer.Listener()) {
+            listed(member.port());
+            carryToTheOne();
+            Peer at = member.accept();
+            at.read(startupLength(at) - 4);
+            at.send(message('R', new byte[4]), READY);
+            at.until("'\0");
+            at.send(message('T', DESCRIPTION), message('D', column("x")), message('C', text("SELECT 1")), READY);
+            assertThat(next().end()).isEqualTo(End.COMMITTED);
+            at.send(new byte[] {'S', 0, 0});
+            at.awaitEnd();
+            carryToTheOne();
+            Peer second = member.accept();
+            second.read(startupLength(second) - 4);
+            second.send(message('R', new byte[4]), READY);
+            second.until("'\0");
+            second.reset();
+            assertThat(next().end()).isEqualTo(End.RESET);
+        }
+    }
 }
--- a/src/test/java/wingroad/rig/Peer.java
+++ b/src/test/java/wingroad/rig/Peer.java
@@ -119,13 +119,17 @@
         return socket.getInputStream().readAllBytes();
     }
 
-    /** Waits until the other side has ended or broken the connection, whatever comes before. */
-    public void awaitEnd() throws IOException {
+    /** What comes until the other side has ended or broken the connection. */
+    public String awaitEnd() throws IOException {
+        ByteArrayOutputStream all = new ByteArrayOutputStream();
         try {
-            rest();
+            for (int b = socket.getInputStream().read(); b >= 0; b = socket.getInputStream().read()) {
+                all.write(b);
+            }
         } catch (SocketException reset) {
             // that is an end as well
         }
+        return all.toString(StandardCharsets.ISO_8859_1);
     }
 
     @Override
