Client side: who has left is seen to leave, and a stop cuts no statement off in its middle

Found by reading on: Exchange.changed pulled decisions before a read that was already done had its turn, so after a pause of the process a statement was sent on whose client's end stood right behind it. The pull comes a turn later. A client that comes again at once under its id was refused though nothing had gone out (Clients.ids); taken now where nothing was handed to the member side, refused as before where something was. Eight tests on loopback, ordered by latches and by asking the loop; each fails with its line taken out.

--- a/src/main/java/wingroad/driver/ClientLink.java
+++ b/src/main/java/wingroad/driver/ClientLink.java
@@ -44,6 +44,8 @@
     private Caller caller;
     /** The txn that waits for its final answer, or null. */
     private String txn;
+    /** The id of its statement. */
+    private String id;
     /** Its txn is being handed over. */
     private boolean taking;
     /** The size of its statement. */
@@ -76,6 +78,11 @@
         return txn != null || taking || link.unsent() || link.unread() && stuckSince == null && !pausing && !leaving;
     }
 
+    /** A part of a command has come, and nothing else is under way: cut off now, its client would not know how far it came. */
+    boolean inCommand() {
+        return stuckSince != null && link.unread() && !leaving;
+    }
+
     @Override
     public boolean takes() {
         return leaving || txn == null && !pausing && !link.unsent();
@@ -163,6 +170,7 @@
             wrong("client " + why, code, why, true);
             return;
         }
+        id = s.id();
         holds = text.length;
         side.hold(holds);
         taking = true;
@@ -327,7 +335,7 @@
     @Override
     public void ended(int unwritten, boolean orderly, String how) {
         if (txn != null) {
-            side.lapsed(txn);
+            side.lapsed(txn, id);
             settled();
         }
         side.left(this);
--- a/src/main/java/wingroad/driver/Clients.java
+++ b/src/main/java/wingroad/driver/Clients.java
@@ -48,6 +48,8 @@
     private Door door;
     private int numbers;
     private boolean closing;
+    /** All have been told the end, and whoever comes is told at once. */
+    private boolean ended;
     private boolean idleMayStay;
 
     Clients(Loop loop, Exchange exchange, Tally tally, List<String> types, Map<String, Object> terms,
@@ -84,6 +86,10 @@
             ClientLink c = new ClientLink(this, exchange.now(), ++numbers);
             links.add(c);
             c.begin(in.apply(c));
+            if (ended) {
+                // Accepted in the moment in which all others were told the end.
+                c.leave();
+            }
         });
     }
 
@@ -175,7 +181,7 @@
                 c.close();
                 return true;
             }
-            idle = idle == null && c.asked() && !c.busy() ? c : idle;
+            idle = (idle == null || idle.inCommand()) && c.asked() && !c.busy() && !(idle != null && c.inCommand()) ? c : idle;
         }
         if (idle != null) {
             tally.count("idle client closed for room");
@@ -205,9 +211,12 @@
             : exchange.arrived(s, type, session, from, caller, name(s, caller));
     }
 
-    void lapsed(String txn) {
+    void lapsed(String txn, String id) {
         tally.count("client left");
-        exchange.lapsed(txn);
+        if (exchange.lapsed(txn)) {
+            // It may come again at once, under the same id: nothing of it has reached anybody.
+            ids.remove(id);
+        }
     }
 
     void idles(ClientLink c) {
@@ -226,7 +235,7 @@
         ClientLink longest = null;
         for (ClientLink c : links.size() > loop.mostChannels() / CLIENTS_SHARE ? links : List.<ClientLink>of()) {
             asked += c.asked() && !c.leaving() ? 1 : 0;
-            longest = longest == null && c.asked() && !c.leaving() && !c.busy() ? c : longest;
+            longest = longest == null && c.asked() && !c.leaving() && !c.busy() && !c.inCommand() ? c : longest;
         }
         if (longest != null && asked > loop.mostChannels() / CLIENTS_SHARE) {
             tally.count("idle client let go among many");
@@ -270,7 +279,7 @@
     void beginClosing() {
         closing = true;
         for (ClientLink c : new ArrayList<>(links)) {
-            if (c.asked() && !c.busy()) {
+            if (c.asked() && !c.busy() && !c.inCommand()) {
                 c.leave();
             }
         }
@@ -281,10 +290,24 @@
         door.close();
     }
 
-    /** Nothing is left to be answered or written. */
+    /**
+     * Each connection that is still open is told the end; it goes once its client has ended its side as well. Guards against
+     * an exit over bytes that nobody has read: the system would break such a connection, and with it the last answer.
+     */
+    void endAll() {
+        closing = true;
+        ended = true;
+        for (ClientLink c : new ArrayList<>(links)) {
+            if (!c.leaving()) {
+                c.leave();
+            }
+        }
+    }
+
+    /** Nothing is left to be answered, written or taken. */
     boolean idle() {
         for (ClientLink c : links) {
-            if (c.busy()) {
+            if (c.busy() || c.inCommand()) {
                 return false;
             }
         }
--- a/src/main/java/wingroad/driver/Exchange.java
+++ b/src/main/java/wingroad/driver/Exchange.java
@@ -1,5 +1,7 @@
 package wingroad.driver;
 
+import static wingroad.state.Spans.min;
+
 import java.time.Duration;
 import java.util.HashMap;
 import java.util.Map;
@@ -91,6 +93,8 @@
         final Asker asker;
         final Duration expiresAt;
         final Duration arrivedAt;
+        /** It was handed to the member side at some time: it may be at a member. */
+        boolean carried;
         /** Its way through the door, or null where there is none. */
         Visit visit;
 
@@ -132,9 +136,10 @@
         this.onBug = onBug;
     }
 
-    /** The program ends: whatever is taken from now on has its answer by then. */
+    /** The program ends: whatever is open, and whatever is taken from now on, has its answer by then. */
     void endBy(Duration at) {
         endBy = at;
+        router().endBy(clock.now(), at);
         if (door != null) {
             door.endBy(at);
             changed();
@@ -224,12 +229,13 @@
         return carrier.giveWay();
     }
 
-    /** The client has left; nobody is told of this txn any more. */
-    void lapsed(String txn) {
+    /** The client has left; nobody is told of this txn any more. True where nothing of it can have reached a member. */
+    boolean lapsed(String txn) {
         Open t = take(txn);
         if (t != null) {
             router().txnLapsed(clock.now(), txn);
         }
+        return t != null && !t.carried;
     }
 
     // ---- from the members ----
@@ -325,11 +331,14 @@
 
     // ---- decisions ----
 
-    /** Something came in: the module is asked once all that has come in by now is told. */
+    /**
+     * Something came in: the module is asked once all that has come in by now is told. A turn later than that: a read that
+     * follows at once, and finds that the client has left behind its txn, has its turn before.
+     */
     private void changed() {
         if (!pullAsked) {
             pullAsked = true;
-            loop.run(this::pull);
+            loop.run(() -> loop.run(this::pull));
         }
     }
 
@@ -416,8 +425,9 @@
                     if (txn.visit != null) {
                         door.submitted(now, txn.visit);
                     }
-                    Duration until = d.when() == null || d.when().compareTo(txn.expiresAt) > 0 ? txn.expiresAt
-                        : d.when();
+                    txn.carried = true;
+                    Duration last = endBy == null ? txn.expiresAt : min(txn.expiresAt, endBy);
+                    Duration until = d.when() == null ? last : min(d.when(), last);
                     carrier.carry(new Errand(d.txn(), d.submission(), d.member(), txn.statement, until));
                 }
             }
--- a/src/main/java/wingroad/transport/Link.java
+++ b/src/main/java/wingroad/transport/Link.java
@@ -15,7 +15,10 @@
  */
 public final class Link {
     private static final int FIRST_SIZE = 1024;
-    /** Read ahead for an owner that does not take it yet: enough to see the other side's end in most cases. */
+    /**
+     * Read ahead in any case for an owner that does not take it yet. The other side's end stands behind all that it has
+     * sent: as long as there is memory to spare, all of it is read, up to the bound, so that the end is seen.
+     */
     private static final int AHEAD = 4096;
     /** One call reads or writes no more: the system's side copies all that it is given, each time. */
     private static final int PIECE = 64 * 1024;
@@ -29,7 +32,7 @@
         /** Bytes are there; the owner takes from the front what it can use, and the rest is offered again. */
         void bytes(ByteBuffer in);
 
-        /** Whether it takes what comes now; while it does not, only a little is read ahead. */
+        /** Whether it takes what comes now; while it does not, what is read ahead gives way to others' bytes. */
         default boolean takes() {
             return true;
         }
@@ -179,10 +182,10 @@
             start = 0;
         }
         if (end == data.length) {
-            if (end >= bound || end >= AHEAD && !owner.takes()) {
+            int size = Math.min(bound, Math.max(FIRST_SIZE, data.length * 2));
+            if (end >= bound || end >= AHEAD && !owner.takes() && !loop.maySpare(size - data.length)) {
                 return;
             }
-            int size = Math.min(bound, Math.max(FIRST_SIZE, data.length * 2));
             if (size > FIRST_SIZE && !loop.mayHold(size - data.length)) {
                 guarded(owner::full);
                 return;
--- a/src/main/java/wingroad/transport/Loop.java
+++ b/src/main/java/wingroad/transport/Loop.java
@@ -94,6 +94,11 @@
         return held + bytes <= mostHeld;
     }
 
+    /** Whether so many may be held for later: half of the room is kept for what is under way. */
+    boolean maySpare(long bytes) {
+        return held + bytes <= mostHeld / 2;
+    }
+
     public long held() {
         return held;
     }
--- /dev/null
+++ b/src/test/java/wingroad/driver/ClientsTest.java
@@ -0,0 +1,300 @@
+package wingroad.driver;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static wingroad.Given.message;
+import static wingroad.Given.read;
+import static wingroad.Given.text;
+import static wingroad.Given.write;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.List;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import wingroad.Given;
+import wingroad.rig.Peer;
+import wingroad.routing.TxnRouter;
+import wingroad.state.Member.Role;
+import wingroad.state.Submission.End;
+import wingroad.transport.Loop;
+
+/** Clients that leave, send, and are told the end, at moments that the test chooses; the members are the test's own. */
+class ClientsTest {
+    private static final long MEMBER = 1;
+
+    private final BlockingQueue<Exchange.Errand> carried = new LinkedBlockingQueue<>();
+    private final BlockingQueue<Throwable> bugs = new LinkedBlockingQueue<>();
+    private final Loop loop = new Loop(200, 1 << 24, bugs::add);
+    private final Clock clock = new Clock();
+    private final Given given = new Given();
+    private final TxnRouter router = new TxnRouter(given.terms, 1, line -> { });
+    private final Exchange exchange = new Exchange(loop, clock, router, Duration.ofMillis(250), bugs::add);
+    private final Clients clients = new Clients(loop, exchange, new Tally(), List.of("look", "change"), given.terms, g -> true);
+    private int port;
+
+    ClientsTest() throws IOException {
+        // the loop opens its polling
+    }
+
+    @BeforeEach
+    void listen() throws Exception {
+        exchange.meet(new Exchange.Carrier() {
+            @Override
+            public void carry(Exchange.Errand e) {
+                if (!e.probe()) {
+                    carried.add(e);
+                }
+            }
+
+            @Override
+            public void callOff(String txn, int submission) {
+                // the test ends it, or leaves it out
+            }
+
+            @Override
+            public void release(long member) {
+                // nothing stands idle here
+            }
+
+            @Override
+            public boolean giveWay() {
+                return false;
+            }
+        }, new Exchange.Lists() {
+            @Override
+            public void follow() {
+                // the test tells the list
+            }
+
+            @Override
+            public void fetch() {
+                // as above
+            }
+        }, () -> false);
+        BlockingQueue<Integer> at = new LinkedBlockingQueue<>();
+        loop.run(() -> {
+            try {
+                clients.listen(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
+                at.add(clients.at().getPort());
+            } catch (IOException e) {
+                bugs.add(e);
+            }
+            Duration now = clock.now();
+            exchange.router().listStarts(now, true);
+            exchange.router().listed(now, MEMBER, 7, 0, 0, 1, false, false, false, null);
+            exchange.router().listEnds(now);
+        });
+        port = at.poll(20, TimeUnit.SECONDS);
+    }
+
+    /** The member says that it is the primary: writes that were held are sent on. */
+    private void primaryFound() {
+        loop.run(() -> exchange.router().reported(clock.now(), MEMBER, Role.PRIMARY, clock.now(), Double.NaN, Double.NaN,
+            Double.NaN));
+    }
+
+    private Peer client() throws IOException {
+        Peer c = Peer.to(port).send(Given.STARTUP);
+        c.until("Z\0\0\0\5I");
+        return c;
+    }
+
+    private static byte[] ask(String sql) {
+        return message('Q', text(sql));
+    }
+
+    /** Asked on the loop's own thread, again and again, until it is so; not for longer than any wait in the code. */
+    private void until(BooleanSupplier is) throws InterruptedException {
+        long end = System.nanoTime() + TimeUnit.SECONDS.toNanos(5);
+        BlockingQueue<Boolean> was = new LinkedBlockingQueue<>();
+        do {
+            assertThat(System.nanoTime()).as("it never came to be").isLessThan(end);
+            loop.run(() -> was.add(is.getAsBoolean()));
+        } while (!was.take());
+    }
+
+    private void commit(Exchange.Errand e) {
+        byte[] row = Given.joined(message('T', Given.DESCRIPTION), message('D', Given.column("done")), message('C', text("SELECT 1")));
+        loop.run(() -> exchange.ended(e, End.COMMITTED, Duration.ofMillis(1), new Exchange.Told(Role.PRIMARY, null, null), row));
+    }
+
+    /** Guards against a txn that is sent on though its client has left behind all that it had sent ahead. */
+    @Test
+    void oneThatSendsMuchAheadAndLeavesIsSeenToLeave() throws Exception {
+        for (boolean resets : new boolean[] {false, true}) {
+            Peer c = client();
+            c.send(ask(write("w" + resets).replace("d=4000", "d=60000")));
+            until(() -> exchange.openTxns() == 1);
+            for (int i = 0; i < 400; i++) {
+                c.send(ask(read("r" + resets + i)));
+            }
+            if (resets) {
+                c.reset();
+            } else {
+                c.close();
+            }
+            until(() -> exchange.openTxns() == 0);
+            primaryFound();
+            until(() -> clients.connections() == 0);
+            assertThat(carried).isEmpty();
+            loop.run(() -> exchange.router().reported(clock.now(), MEMBER, Role.REPLICA, clock.now(), Double.NaN, Double.NaN,
+                Double.NaN));
+        }
+        assertThat(bugs).isEmpty();
+    }
+
+    /** What is read ahead gives way: with half of the room in use, a flood is held up and everybody else is served. */
+    @Test
+    void aFloodThatIsReadAheadLeavesHalfOfTheRoom() throws Exception {
+        Peer c = client();
+        c.send(ask(write("w").replace("d=4000", "d=60000")));
+        until(() -> exchange.openTxns() == 1);
+        loop.run(() -> loop.hold((1 << 23) - loop.held()));
+        for (int i = 0; i < 1000; i++) {
+            c.send(ask(read("r" + i)));
+        }
+        primaryFound();
+        commit(carried.poll(20, TimeUnit.SECONDS));
+        assertThat(c.until("Z\0\0\0\5I")).contains("done");
+        BlockingQueue<Long> held = new LinkedBlockingQueue<>();
+        loop.run(() -> held.add(loop.held()));
+        assertThat(held.poll(20, TimeUnit.SECONDS)).isLessThan((1 << 23) + 64 * 1024);
+        assertThat(carried.poll(20, TimeUnit.SECONDS).statement().id()).isEqualTo("r0");
+    }
+
+    /** Guards against a planned stop that cuts a statement off in its middle, be it a client's first or a later one. */
+    @Test
+    void oneInTheMiddleOfAStatementIsAnsweredBeforeItIsToldTheEnd() throws Exception {
+        primaryFound();
+        Peer asked = client();
+        asked.send(ask(""));
+        asked.until("Z\0\0\0\5I");
+        for (Peer c : List.of(asked, client())) {
+            byte[] whole = ask(write("half" + (c == asked)));
+            c.send(java.util.Arrays.copyOf(whole, 60));
+            until(() -> !clients.idle());
+            loop.run(clients::beginClosing);
+            c.send(java.util.Arrays.copyOfRange(whole, 60, whole.length));
+            commit(carried.poll(20, TimeUnit.SECONDS));
+            assertThat(c.until("Z\0\0\0\5I")).contains("done");
+            assertThat(c.rest()).isEmpty();
+            c.close();
+            until(clients::idle);
+        }
+        until(() -> clients.connections() == 0);
+    }
+
+    /** A statement that comes in the moment of the end is not sent on, and its client sees an end and no break. */
+    @Test
+    void whatComesBehindTheEndIsReadAndThrownAway() throws Exception {
+        primaryFound();
+        Peer c = client();
+        c.send(ask(""));
+        c.until("Z\0\0\0\5I");
+        Peer fresh = client();
+        loop.run(clients::endAll);
+        // Taken from the listener's queue behind all others: told the same.
+        Peer last = Peer.to(port);
+        assertThat(last.rest()).isEmpty();
+        last.close();
+        for (Peer p : List.of(c, fresh)) {
+            p.send(ask(write("late")));
+            assertThat(p.rest()).isEmpty();
+            p.send(ask(write("later")));
+        }
+        // Both stay until their clients end their side: a close over unread bytes would break the connection.
+        until(() -> clients.connections() == 2 && clients.idle());
+        c.close();
+        fresh.close();
+        until(() -> clients.connections() == 0);
+        assertThat(carried).isEmpty();
+        assertThat(exchange.openTxns()).isZero();
+    }
+
+    /** It comes again at once under the same id: taken where nothing of it went out, turned away where something may have. */
+    @Test
+    void oneThatLeftComesAgainUnderTheSameIdOnlyIfNothingWentOut() throws Exception {
+        Peer c = client();
+        c.send(ask(write("same")));
+        until(() -> exchange.openTxns() == 1);
+        c.reset();
+        until(() -> exchange.openTxns() == 0);
+        Peer again = client().send(ask(write("same")));
+        until(() -> exchange.openTxns() == 1);
+        primaryFound();
+        assertThat(carried.poll(20, TimeUnit.SECONDS).statement().id()).isEqualTo("same");
+        again.reset();
+        until(() -> exchange.openTxns() == 0);
+        assertThat(client().send(ask(write("same"))).until("Z\0\0\0\5I")).contains("42704");
+        assertThat(carried).isEmpty();
+    }
+
+    /** The client leaves while its txn waits for its connection: asked just before it would go, the exchange says no. */
+    @Test
+    void oneThatLeavesWhileItsConnectionOpensIsNotSentOn() throws Exception {
+        primaryFound();
+        Peer c = client();
+        c.send(ask(write("w")));
+        Exchange.Errand e = carried.poll(20, TimeUnit.SECONDS);
+        BlockingQueue<Boolean> may = new LinkedBlockingQueue<>();
+        loop.run(() -> may.add(exchange.mayStillGo(e)));
+        assertThat(may.poll(20, TimeUnit.SECONDS)).isTrue();
+        c.endOutput();
+        until(() -> exchange.openTxns() == 0);
+        loop.run(() -> may.add(exchange.mayStillGo(e)));
+        assertThat(may.poll(20, TimeUnit.SECONDS)).isFalse();
+        c.close();
+    }
+
+    /** Its statement and its end stand side by side when the driver next looks, as after a pause of the whole process. */
+    @Test
+    void oneThatHasLeftByTheTimeItsStatementIsReadIsNotSentOn() throws Exception {
+        primaryFound();
+        for (boolean resets : new boolean[] {false, true}) {
+            Peer c = client();
+            CountDownLatch standing = new CountDownLatch(1);
+            CountDownLatch goes = new CountDownLatch(1);
+            loop.run(() -> {
+                standing.countDown();
+                try {
+                    goes.await();
+                } catch (InterruptedException e) {
+                    Thread.currentThread().interrupt();
+                }
+            });
+            standing.await();
+            c.send(ask(write("left" + resets)));
+            if (resets) {
+                c.reset();
+            } else {
+                c.close();
+            }
+            goes.countDown();
+            until(() -> clients.connections() == 0);
+            assertThat(carried).isEmpty();
+        }
+    }
+
+    /** Bytes one at a time, two statements in a row: both are answered, in order. */
+    @Test
+    void bytesOneAtATimeMakeWholeStatements() throws Exception {
+        primaryFound();
+        Peer c = client();
+        c.trickle(Given.joined(ask(write("a")), ask(write("b"))));
+        for (String id : new String[] {"a", "b"}) {
+            Exchange.Errand e = carried.poll(20, TimeUnit.SECONDS);
+            assertThat(e.statement().id()).isEqualTo(id);
+            commit(e);
+            assertThat(c.until("Z\0\0\0\5I")).contains("done");
+        }
+        assertThat(new String(c.send(message('X')).rest(), StandardCharsets.ISO_8859_1)).isEmpty();
+    }
+}
