Start and stop: signals between two steps, and the list known before anybody is let in

Seen on the code before, with the packaged program: a SIGHUP while the configuration is read ends the process (its handler came in start(), after the reading): the new test times out there. The list of discovery's agent counts as told from a new process's first moment, but the first call went out as the door opened: 'serves' stood before 'list 1 whole' each time. Limits such as sockets 3 or memory_mb 0 were taken, and the process ran with them. Read: a SIGTERM before the door opened ran into a door that was not there (leaveWhenDone), which ended its own timer, and the process stayed till it was killed. A reload asked for between the two handlers could be forgotten: one handler now, heard twice rather than not. Stopped before it serves, the process ends. A limit below 16 is refused by its key.

--- a/src/main/java/wingroad/driver/Commission.java
+++ b/src/main/java/wingroad/driver/Commission.java
@@ -17,6 +17,7 @@
                   long memory, MemberList known, Map<String, Object> settings) {
     private static final int USUAL_DESCRIPTORS = 1024;
     private static final int USUAL_MEMORY_MB = 192;
+    private static final int LEAST_LIMIT = 16;
     /** Far more than a list of all members takes; a file without end must not fill the memory. */
     private static final int LONGEST = 4 << 20;
 
@@ -45,8 +46,8 @@
             Map<String, Object> all = Json.object(text, "the configuration");
             Map<String, Object> limits = all.get("limits") == null ? Map.of()
                 : Json.object(all.get("limits"), "'limits'");
-            int descriptors = Json.number(limits, "sockets", USUAL_DESCRIPTORS).intValue();
-            long memory = Json.number(limits, "memory_mb", USUAL_MEMORY_MB).longValue();
+            int descriptors = (int) limit(limits, "sockets", USUAL_DESCRIPTORS);
+            long memory = limit(limits, "memory_mb", USUAL_MEMORY_MB);
             Map<String, Object> settings = Json.object(Json.need(all, "settings"), "'settings'");
             List<String> problems = TermsCheck.problems(settings);
             if (!problems.isEmpty()) {
@@ -72,6 +73,16 @@
             && settings.equals(other.settings);
     }
 
+    /** A limit with which it can run at all. */
+    private static long limit(Map<String, Object> limits, String name, int usual) throws Refused {
+        double most = Json.number(limits, name, usual).doubleValue();
+        if (!(most >= LEAST_LIMIT && most <= Integer.MAX_VALUE)) {
+            throw new Refused("the configuration is broken: limits." + name + ": a number of " + LEAST_LIMIT
+                + " at the least is needed, not " + limits.get(name));
+        }
+        return (long) most;
+    }
+
     private static String word(Map<String, Object> all, String name, String otherwise) {
         return all.get(name) instanceof String s ? s : otherwise;
     }
--- a/src/main/java/wingroad/driver/Discovery.java
+++ b/src/main/java/wingroad/driver/Discovery.java
@@ -41,6 +41,8 @@
     private Call fetch;
     /** A watch is to be opened, but not at once; else null. */
     private Loop.Timer again;
+    /** Who waits for the call for the whole list, or null. */
+    private Runnable whenFetched;
 
     /**
      * {@code asked}: the list must be asked for. {@code news} gets each list that comes; {@code failed} hears of each call
@@ -106,6 +108,20 @@
         }
     }
 
+    /** The same; {@code then} runs once the list has been told, or there is none to be had now. */
+    void fetch(Runnable then) {
+        whenFetched = then;
+        fetch();
+    }
+
+    private void fetched() {
+        Runnable then = whenFetched;
+        whenFetched = null;
+        if (then != null) {
+            then.run();
+        }
+    }
+
     /**
      * Asks at another address from now on. A watch goes on there with the version that is held, so that nothing that
      * changes is missed; a call that is out at the old address is dropped, not counted as failed, and made again.
@@ -193,6 +209,7 @@
             if (list.version() < version && !watches && watch != null) {
                 // The watch has overtaken it: what is held is newer.
                 end();
+                fetched();
                 return;
             }
             if (list.version() < version && !list.whole()) {
@@ -219,6 +236,9 @@
                 }
             }
             Discovery.this.news.accept(list);
+            if (!watches) {
+                fetched();
+            }
         }
 
         /** Its answer or end came as soon as it was asked: it does not wait, and would be asked without a pause. */
@@ -242,6 +262,7 @@
                 follow();
             } else {
                 failed.run();
+                fetched();
             }
         }
 
@@ -254,6 +275,9 @@
                     next(false);
                 } else {
                     failed.run();
+                    if (!watches) {
+                        fetched();
+                    }
                 }
             }
         }
--- a/src/main/java/wingroad/driver/Driver.java
+++ b/src/main/java/wingroad/driver/Driver.java
@@ -12,7 +12,11 @@
 import java.util.Map;
 import java.util.Objects;
 import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionException;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.AtomicReference;
 import sun.misc.Signal;
 import wingroad.door.FairDoor;
 import wingroad.fleet.FleetRules;
@@ -35,6 +39,8 @@
      */
     private static final Duration MOST_COUNTED = Duration.ofSeconds(3);
     private static final Duration KILL_MARGIN = Duration.ofMillis(100);
+    /** Before it leaves, those that were told the end have so long at the least to take their answer and end their side. */
+    private static final Duration PARTING = Duration.ofMillis(50);
     private static final Duration TALLY_EVERY = Duration.ofSeconds(5);
     private static final Duration STEP = Duration.ofMillis(5);
 
@@ -62,8 +68,18 @@
     private final Members members;
     private final Clients clients;
     private final Discovery discovery;
+    /** What the first txns run through has been played. */
+    private boolean rehearsed;
+    /** The first call for the list has its answer, or has none. */
+    private boolean listTried;
+    /** The door has been opened: clients may have been let in. */
+    private boolean serving;
+    /** The word that there is another configuration came before the door was open. */
+    private boolean reloadAsked;
     private Duration stoppedAt;
     private Duration leavesBy;
+    /** All that are connected have been told the end. */
+    private boolean parting;
 
     private Driver(Map<String, String> env, Commission c, PrintStream out, OperatorFile operator) throws IOException {
         this.env = env;
@@ -102,10 +118,24 @@
     public static int run(Map<String, String> env, PrintStream out, PrintStream err, Path operatorPath,
                           OperatorFile operator) {
         try {
+            // Without a handler of its own the signal would end the program: it is there before the configuration is read.
+            AtomicBoolean early = new AtomicBoolean();
+            AtomicReference<Driver> begun = new AtomicReference<>();
+            Signal.handle(new Signal("HUP"), signal -> {
+                early.set(true);
+                if (begun.get() != null) {
+                    begun.get().loop.run(begun.get()::reload);
+                }
+            });
             Commission c = Commission.read(env);
             Driver driver = new Driver(env, c, out, operator);
             driver.operatorPath = operatorPath;
             driver.operator = operator;
+            // In this order: a signal that comes between the two is heard twice, and none is missed.
+            begun.set(driver);
+            if (early.get()) {
+                driver.loop.run(driver::reload);
+            }
             driver.start();
             return 0;
         } catch (Commission.Refused e) {
@@ -148,41 +178,29 @@
 
     private void start() throws IOException {
         Runtime.getRuntime().addShutdownHook(new Thread(this::stopped, "stop"));
-        // Without a handler of its own the signal would end the program.
-        Signal.handle(new Signal("HUP"), signal -> loop.run(this::reload));
-        CountDownLatch begun = new CountDownLatch(1);
-        IOException[] failure = new IOException[1];
-        Rehearsal.play(loop, commission.names("grades"), Terms.of(commission.settings()), () -> {
-            try {
-                // Nobody is served before this task is over, and what is known is told within it.
-                openDoor();
-                if (work == null) {
-                    clients.listen(commission.listen());
-                } else {
-                    // Until the plan is known there is next to nobody to send to: clients wait a moment, or go elsewhere.
-                    clients.bind(commission.listen());
-                    work.whenKnown(clients::letIn);
-                }
-                learn(commission.known());
-                if (!asked) {
-                    discovery.follow();
-                }
-                InetSocketAddress at = clients.at();
-                log.line(commission.name() + " serves " + at.getHostString() + ":" + at.getPort() + ", knows "
-                    + commission.known().entries().size() + " members, descriptors for " + loop.mostChannels());
-            } catch (IOException | RuntimeException e) {
-                failure[0] = new IOException(commission.listen() + ": " + e.getMessage());
+        CompletableFuture<Void> begun = new CompletableFuture<>();
+        // What discovery's agent has counts as told from the process's first moment: it is asked before anybody is let in.
+        loop.run(() -> {
+            takeIn(work == null ? commission.known() : work.effective(commission.known()));
+            if (asked) {
+                listTried = true;
+            } else {
+                discovery.follow();
+                discovery.fetch(() -> {
+                    listTried = true;
+                    serveOnceReady(begun);
+                });
             }
-            begun.countDown();
+        });
+        Rehearsal.play(loop, commission.names("grades"), Terms.of(commission.settings()), () -> {
+            rehearsed = true;
+            serveOnceReady(begun);
         });
         try {
-            begun.await();
-        } catch (InterruptedException e) {
-            Thread.currentThread().interrupt();
-        }
-        if (failure[0] != null) {
+            begun.join();
+        } catch (CompletionException e) {
             done.countDown();
-            throw failure[0];
+            throw new IOException(commission.listen() + ": " + e.getCause().getMessage());
         }
         loop.after(TALLY_EVERY, this::report);
         if (operator != null && operator.fleet() != null) {
@@ -190,6 +208,39 @@
         }
     }
 
+    /** Opens the door, unless the word to stop came before: then nobody is let in, and the process is on its way out. */
+    private void serveOnceReady(CompletableFuture<Void> begun) {
+        if (!rehearsed || !listTried || begun.isDone()) {
+            return;
+        }
+        try {
+            if (stoppedAt == null) {
+                serve();
+            }
+            begun.complete(null);
+        } catch (IOException | RuntimeException e) {
+            begun.completeExceptionally(e);
+        }
+    }
+
+    private void serve() throws IOException {
+        openDoor();
+        if (work == null) {
+            clients.listen(commission.listen());
+        } else {
+            // Until the plan is known there is next to nobody to send to: clients wait a moment, or go elsewhere.
+            clients.bind(commission.listen());
+            work.whenKnown(clients::letIn);
+        }
+        InetSocketAddress at = clients.at();
+        log.line(commission.name() + " serves " + at.getHostString() + ":" + at.getPort() + ", knows "
+            + members.count() + " members, descriptors for " + loop.mostChannels());
+        serving = true;
+        if (reloadAsked) {
+            reload();
+        }
+    }
+
     /** Where it can't begin, clients are served all the same. */
     private void joinFleet() {
         try {
@@ -221,8 +272,15 @@
         tell(work == null ? list : work.effective(list));
     }
 
-    /** Tells the module a list as it counts. */
     private void tell(MemberList list) {
+        takeIn(list);
+        if (!list.entries().isEmpty()) {
+            log.line("list " + list.version() + (list.whole() ? " whole, " : " changes ") + list.entries().size());
+        }
+    }
+
+    /** Tells the module a list as it counts. */
+    private void takeIn(MemberList list) {
         Duration now = clock.now();
         Router router = exchange.router();
         router.listStarts(now, list.whole());
@@ -234,13 +292,14 @@
         }
         router.listEnds(now);
         members.forget(router::knows);
-        if (!list.entries().isEmpty()) {
-            log.line("list " + list.version() + (list.whole() ? " whole, " : " changes ") + list.entries().size());
-        }
     }
 
     /** The word has come that there is another configuration. What can't be read leaves the old one in force. */
     private void reload() {
+        if (!serving) {
+            reloadAsked = true;
+            return;
+        }
         reloadOperator();
         reloadConfiguration();
     }
@@ -307,9 +366,13 @@
             loop.run(() -> {
                 stoppedAt = clock.now();
                 log.line("told to stop, open " + exchange.openTxns());
+                if (!serving) {
+                    done.countDown();
+                    return;
+                }
                 Duration serves = min(clients.longestWait(), MOST_COUNTED);
                 leavesBy = stoppedAt.plus(serves).plus(STILL_COMING).minus(KILL_MARGIN);
-                exchange.endBy(leavesBy);
+                exchange.endBy(leavesBy.minus(PARTING));
                 clients.idleMayStay();
                 if (fleet != null) {
                     fleet.leave(() -> loop.run(() -> log.line("fleet: left after "
@@ -328,11 +391,17 @@
     }
 
     private void leaveWhenDone() {
-        if (clock.now().minus(stoppedAt).compareTo(STILL_COMING) >= 0) {
+        Duration now = clock.now();
+        boolean shut = now.minus(stoppedAt).compareTo(STILL_COMING) >= 0;
+        if (shut) {
             clients.shutDoor();
         }
-        boolean nothingLeft = exchange.openTxns() == 0 && (clients.idle() || clock.now().compareTo(leavesBy) > 0);
-        if (clients.closing() && nothingLeft) {
+        boolean late = now.compareTo(leavesBy.minus(PARTING)) > 0;
+        if (!parting && shut && clients.closing() && exchange.openTxns() == 0 && (clients.idle() || late)) {
+            parting = true;
+            clients.endAll();
+        }
+        if (parting && exchange.openTxns() == 0 && (clients.connections() == 0 || now.compareTo(leavesBy) > 0)) {
             log.line("stops after " + clock.now().minus(stoppedAt).toMillis() + " ms");
             if (fleet != null) {
                 fleet.close();
--- a/src/test/java/wingroad/driver/DriverIT.java
+++ b/src/test/java/wingroad/driver/DriverIT.java
@@ -9,7 +9,10 @@
 import static wingroad.Given.write;
 
 import java.io.BufferedReader;
+import java.io.FileOutputStream;
 import java.io.IOException;
+import java.io.OutputStream;
+import java.io.UncheckedIOException;
 import java.net.SocketException;
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
@@ -18,6 +21,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.Semaphore;
 import java.util.concurrent.TimeUnit;
@@ -29,6 +33,7 @@
 import wingroad.Given.Client;
 import wingroad.Given.StandInDiscovery;
 import wingroad.Given.StandInMember;
+import wingroad.rig.Peer;
 
 /** Starts the packaged program as deploy/balancer.toml does, and speaks to it over sockets. */
 @Isolated
@@ -493,6 +498,112 @@
         assertThat(System.nanoTime() - from).isLessThan(TimeUnit.SECONDS.toNanos(20));
     }
 
+    // ---- signals and lists between two steps ----
+
+    private Process java(Path config) throws IOException {
+        ProcessBuilder p = new ProcessBuilder("java", "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-jar", "target/wingroad.jar",
+            "serve").redirectErrorStream(true);
+        p.environment().put("LB_CONFIG", config.toString());
+        return p.start();
+    }
+
+    /** Opens a pipe for the one configuration that its reader gets; waits until the reader is there. */
+    private static OutputStream toReader(Path pipe) throws Exception {
+        return CompletableFuture.supplyAsync(() -> {
+            try {
+                return new FileOutputStream(pipe.toFile());
+            } catch (IOException e) {
+                throw new UncheckedIOException(e);
+            }
+        }).get(20, TimeUnit.SECONDS);
+    }
+
+    /** Guards against a hang-up in the first moments, which ended the program, or was forgotten. */
+    @Test
+    void aHangUpWhileTheConfigurationIsReadIsFollowedOnceItServes() throws Exception {
+        String whole = Files.readString(Path.of(config(0, 1024)));
+        Path pipe = dir.resolve("pipe");
+        assertThat(new ProcessBuilder("mkfifo", pipe.toString()).start().waitFor()).isZero();
+        driver = java(pipe);
+        try (OutputStream out = toReader(pipe)) {
+            send("HUP");
+            out.write(whole.getBytes(StandardCharsets.UTF_8));
+        }
+        try (StandInDiscovery next = new StandInDiscovery(); OutputStream out = toReader(pipe)) {
+            out.write(whole.replace("\"discovery\":\"127.0.0.1:" + discovery.port(), "\"discovery\":\"127.0.0.1:" + next.port())
+                .getBytes(StandardCharsets.UTF_8));
+            out.close();
+            assertThat(next.asked.poll(20, TimeUnit.SECONDS)).isNotNull();
+        }
+    }
+
+    /** Guards against a process that stays till it is killed, since there was no door yet that it could close. */
+    @Test
+    void toldToStopBeforeItServesItEnds() throws Exception {
+        try (Peer.Listener silent = new Peer.Listener()) {
+            String config = Files.readString(Path.of(config(0, 1024))).replace("\"discovery\":\"127.0.0.1:" + discovery.port(),
+                "\"discovery\":\"127.0.0.1:" + silent.port());
+            driver = java(Files.writeString(dir.resolve("silent.json"), config));
+            try (Peer call = silent.accept()) {
+                send("TERM");
+                assertThat(driver.waitFor(20, TimeUnit.SECONDS)).isTrue();
+                assertThat(driver.exitValue()).isEqualTo(143);
+            }
+        }
+    }
+
+    /** What discovery's agent has counts as told from the first moment: nobody is let in before it is known. */
+    @Test
+    void theListIsKnownBeforeAnybodyIsLetIn() throws Exception {
+        discovery.tell(entry("s-1", primary.port(), "ready") + "," + entry("s-3", primary.port(), "ready"));
+        driver = process(config(0, 1024));
+        List<String> lines = new ArrayList<>();
+        BufferedReader out = driver.inputReader(StandardCharsets.UTF_8);
+        do {
+            lines.add(out.readLine());
+        } while (!lines.get(lines.size() - 1).contains(" serves "));
+        assertThat(lines).anyMatch(l -> l.contains("list 1 whole"));
+    }
+
+    @Test
+    void aHangUpAndASecondWordToStopChangeNothingForWhatIsOpen() throws Exception {
+        Client c = start();
+        Semaphore let = new Semaphore(0);
+        primary.script((sql, s) -> {
+            let.acquireUninterruptibly();
+            s.row("after all", true);
+        });
+        c.raw(message('Q', text(write("w"))));
+        primary.await();
+        send("TERM");
+        awaitLine("told to stop");
+        hangUp();
+        awaitLine("configuration taken");
+        send("TERM");
+        try (Client late = client()) {
+            assertThat(late.ask(read("late")).heard()).containsExactly("row from replica");
+        }
+        let.release();
+        assertThat(c.heard()).containsExactly("row after all");
+        assertThat(c.heard()).containsExactly("end");
+        assertThat(driver.waitFor(20, TimeUnit.SECONDS)).isTrue();
+        assertThat(driver.exitValue()).isEqualTo(143);
+    }
+
+    /** One line that names the key, and status 2. */
+    @Test
+    void aLimitWithWhichItCannotRunIsNamed() throws Exception {
+        for (String limit : new String[] {"\"sockets\":3", "\"sockets\":-1", "\"memory_mb\":0", "\"memory_mb\":1e99",
+            "\"sockets\":\"many\""}) {
+            String key = limit.replaceAll("\"(.*)\":.*", "$1");
+            String whole = Files.readString(Path.of(config(0, 1024))).replaceAll("\"" + key + "\":[0-9]+", limit);
+            driver = java(Files.writeString(dir.resolve("limit.json"), whole));
+            assertThat(driver.waitFor(20, TimeUnit.SECONDS)).as(limit).isTrue();
+            assertThat(driver.exitValue()).isEqualTo(2);
+            assertThat(driver.inputReader(StandardCharsets.UTF_8).lines().toList()).singleElement().asString().contains(key);
+        }
+    }
+
     @Test
     void badInputGetsAnErrorAndReachesNoMember() throws Exception {
         Client c = start();
