Bounds in bytes where there was one in time only: endless notices, interim answers, messages nobody answers

Found by tests of 'an answer that never ends': a member's notices without end were read at full speed until the submission's expiry (the test waited 15 s for its end, TIMED_OUT), interim answers and trailers of discovery until the call's time, and a client's rows for a copy or skipped extended queries for 2.2 s and 1 s more. Memory was bounded in each case, the thread's time was not. At fault: MemberInput.take counted single messages only, HttpReply counted headers only, ClientLink.take let SKIP pass. Now 256 KB beside a row, 128 lines of any kind, and 256 such messages between two queries; each is counted in the log by its name. Tests fail without each bound. Beside them, without a fault found: an answer that is not flushed is written before the end; a txn whose client leaves while its connection rests is not sent; gone and back at one address; a close in the moment of use has one end; whoever waits for the whole list hears of it however the call ends; what is open at the word to stop is answered before the kill.

--- a/src/main/java/wingroad/driver/ClientLink.java
+++ b/src/main/java/wingroad/driver/ClientLink.java
@@ -25,6 +25,8 @@
     private static final Duration LINGER = Duration.ofSeconds(1);
     /** What a client that was told the end may still send before it is no longer read. */
     private static final int MOST_THROWN_AWAY = 64 * 1024;
+    /** How many messages that come to nothing it may send between two queries: one batch of a client's library at the most. */
+    private static final int MOST_SKIPPED = 256;
     /** After each command that could not be served the next one waits, twice as long each time, and then it is over. */
     private static final Duration FIRST_PAUSE = Duration.ofMillis(10);
     private static final int MOST_WRONG = 8;
@@ -52,6 +54,8 @@
     private int holds;
     /** After an extended-query message all is skipped up to its sync. */
     private boolean skipping;
+    /** How many of its messages came to nothing since its last query. */
+    private int skipped;
     /** How many of its commands could not be served. */
     private int wrong;
     private boolean pausing;
@@ -128,6 +132,8 @@
                 if (!skipping) {
                     skipping = true;
                     wrong("extended query", ClientOutput.UNSUPPORTED, "only simple queries", false);
+                } else {
+                    skip();
                 }
             }
             case SYNC -> {
@@ -138,9 +144,8 @@
                     wrong("function call", ClientOutput.UNSUPPORTED, "no function calls", true);
                 }
             }
-            case SKIP -> {
-                // rows for a copy that was never begun
-            }
+            // rows for a copy that was never begun
+            case SKIP -> skip();
             case BROKEN -> {
                 side.count("client " + m.why());
                 end(ClientOutput.MALFORMED, m.why());
@@ -152,8 +157,17 @@
         }
     }
 
+    /** Guards the thread against a client that sends without end what nobody answers. */
+    private void skip() {
+        if (++skipped > MOST_SKIPPED) {
+            side.count("client sends what is not asked for");
+            end(ClientOutput.MALFORMED, "too much that is no query");
+        }
+    }
+
     private void query(byte[] text) {
         asked = true;
+        skipped = 0;
         if (isBlank(text)) {
             send(new ClientOutput().emptyQuery());
             return;
--- a/src/main/java/wingroad/protocol/HttpReply.java
+++ b/src/main/java/wingroad/protocol/HttpReply.java
@@ -93,6 +93,10 @@
     }
 
     private void understood(String text) {
+        if ((part == Part.STATUS || part == Part.HEADERS || part == Part.TRAILERS) && ++lines > MOST_LINES) {
+            why = "headers without end";
+            return;
+        }
         switch (part) {
             case STATUS -> {
                 if (!text.matches("HTTP/1\\.[01] [0-9]{3}( .*)?")) {
@@ -138,8 +142,8 @@
             return;
         }
         int colon = text.indexOf(':');
-        if (colon <= 0 || ++lines > MOST_LINES) {
-            why = colon <= 0 ? "a header without a name" : "headers without end";
+        if (colon <= 0) {
+            why = "a header without a name";
             return;
         }
         String value = text.substring(colon + 1).strip();
--- a/src/main/java/wingroad/protocol/MemberInput.java
+++ b/src/main/java/wingroad/protocol/MemberInput.java
@@ -21,6 +21,8 @@
 
     /** The largest message that is no row. */
     private static final int MOST_BUT_ROWS = 16 * 1024;
+    /** What may come beside one answer's row in all; an answer that goes on for longer has no end. */
+    private static final int MOST_BESIDE = 16 * MOST_BUT_ROWS;
     private static final Pattern TAG = Pattern.compile("[A-Z]{2,20}( [0-9]{1,10}){0,2}");
 
     /** How far an answer has come. */
@@ -32,6 +34,7 @@
     private boolean valued;
     private boolean completed;
     private boolean fatal;
+    private int beside;
     private String error;
     private String why;
     private final Map<String, String> parameters = new HashMap<>();
@@ -68,6 +71,10 @@
             if (!good) {
                 return broken("a malformed " + f.type());
             }
+            beside += f.type() == 'D' ? 0 : in.position() - from;
+            if (beside > MOST_BESIDE) {
+                return broken("an answer without end");
+            }
             if ("TDC".indexOf(f.type()) >= 0) {
                 byte[] message = new byte[in.position() - from];
                 in.get(from, message);
@@ -176,6 +183,7 @@
 
     /** Makes ready for the next answer. */
     public void clear() {
+        beside = 0;
         started = true;
         described = false;
         value = null;
--- a/src/test/java/wingroad/driver/ClientsTest.java
+++ b/src/test/java/wingroad/driver/ClientsTest.java
@@ -219,6 +219,43 @@
         assertThat(exchange.openTxns()).isZero();
     }
 
+    /** Its client reads late: the answer is handed over but not flushed when all are told the end, and comes whole. */
+    @Test
+    void anAnswerThatIsNotFlushedYetIsWrittenBeforeTheEnd() throws Exception {
+        primaryFound();
+        Peer c = client();
+        c.send(ask(write("large")));
+        Exchange.Errand e = carried.poll(20, TimeUnit.SECONDS);
+        byte[] row = new byte[32 << 20];
+        loop.run(() -> {
+            exchange.ended(e, End.COMMITTED, Duration.ofMillis(1), new Exchange.Told(Role.PRIMARY, null, null), row);
+            clients.endAll();
+        });
+        until(() -> exchange.openTxns() == 0 && !clients.idle());
+        assertThat(c.rest().length).isGreaterThanOrEqualTo(row.length);
+        c.close();
+        until(() -> clients.connections() == 0);
+    }
+
+    /** Guards the thread against clients that send without end what nobody answers: rows for a copy, extended queries. */
+    @Test
+    void oneThatSendsWithoutEndWhatIsNoQueryIsLetGo() throws Exception {
+        for (byte[] nothing : new byte[][] {message('d', new byte[1000]), message('P', new byte[1000])}) {
+            Peer c = client();
+            for (int i = 0; i < 300; i++) {
+                c.send(nothing);
+            }
+            assertThat(new String(c.rest(), StandardCharsets.ISO_8859_1)).contains("too much that is no query");
+            c.close();
+            until(() -> clients.connections() == 0);
+        }
+        primaryFound();
+        Peer c = client();
+        c.send(ask(write("other")));
+        commit(carried.poll(20, TimeUnit.SECONDS));
+        assertThat(c.until("Z\0\0\0\5I")).contains("done");
+    }
+
     /** It comes again at once under the same id: taken where nothing of it went out, turned away where something may have. */
     @Test
     void oneThatLeftComesAgainUnderTheSameIdOnlyIfNothingWentOut() throws Exception {
--- a/src/test/java/wingroad/driver/DiscoveryTest.java
+++ b/src/test/java/wingroad/driver/DiscoveryTest.java
@@ -242,6 +242,36 @@
         assertThat(heard).isEmpty();
     }
 
+    /** Guards a start that waits for the list: it hears that there is one, or none, however the call ends. */
+    @Test
+    void whoeverWaitsForTheWholeListHearsOfItHoweverTheCallEnds() throws Exception {
+        loop.run(discovery::follow);
+        Peer watch = agent.accept();
+        since(watch);
+        watch.send(sized(list(9, true, "ready")));
+        assertThat(news().version()).isEqualTo(9);
+        since(watch);
+        for (String answer : new String[] {sized(list(9, true, "ready")), sized(list(8, true, "ready")), sized("{}"), "nonsense\n",
+            "reset", "silent"}) {
+            loop.run(() -> discovery.fetch(() -> heard.add("tried")));
+            Peer call = agent.accept();
+            assertThat(since(call)).isEqualTo(-1);
+            if (answer.equals("reset")) {
+                call.reset();
+            } else if (!answer.equals("silent")) {
+                call.send(answer);
+            }
+            if (answer.contains("\"rev\":9")) {
+                assertThat(news().version()).isEqualTo(9);
+            } else if (!answer.contains("\"rev\":8")) {
+                assertThat(heard.poll(20, TimeUnit.SECONDS)).isEqualTo("failed");
+            }
+            assertThat(heard.poll(20, TimeUnit.SECONDS)).as(answer).isEqualTo("tried");
+            call.close();
+        }
+        assertThat(heard).isEmpty();
+    }
+
     /** Moved while a call is out, in mid-answer: the old address has no say any more, and nothing counts as failed. */
     @Test
     void movedInTheMiddleOfAnAnswerTheWatchGoesOnElsewhere() throws Exception {
--- a/src/test/java/wingroad/driver/DriverIT.java
+++ b/src/test/java/wingroad/driver/DriverIT.java
@@ -498,6 +498,22 @@
         assertThat(System.nanoTime() - from).isLessThan(TimeUnit.SECONDS.toNanos(20));
     }
 
+    /** Open before the word with an expiry behind the kill, at a member that hangs: it is not found unanswered. */
+    @Test
+    void whatIsOpenAtTheWordToStopHasItsAnswerBeforeTheKill() throws Exception {
+        Client c = start();
+        primary.script((sql, s) -> s.awaitEnd());
+        c.raw(message('Q', text(write("early").replace("d=4000", "d=60000"))));
+        primary.await();
+        send("TERM");
+        awaitLine("told to stop");
+        assertThat(c.heard()).containsExactly("error 08007");
+        assertThat(c.heard()).containsExactly("end");
+        assertThat(driver.waitFor(20, TimeUnit.SECONDS)).isTrue();
+        String last = awaitLine("stops after");
+        assertThat(Integer.parseInt(last.replaceAll(".*stops after ([0-9]+) ms.*", "$1"))).isLessThan(4700);
+    }
+
     // ---- signals and lists between two steps ----
 
     private Process java(Path config) throws IOException {
--- a/src/test/java/wingroad/driver/MembersTest.java
+++ b/src/test/java/wingroad/driver/MembersTest.java
@@ -488,4 +488,105 @@
             assertThat(next().end()).isEqualTo(End.RESET);
         }
     }
+
+    /** Lets the connection in and waits for its first statement. */
+    private static Peer letIn(Peer at) throws IOException {
+        at.read(startupLength(at) - 4);
+        at.send(message('R', new byte[4]), READY);
+        at.until("'\0");
+        return at;
+    }
+
+    private static void answer(Peer at) throws IOException {
+        at.send(message('T', DESCRIPTION), message('D', column("x")), message('C', text("SELECT 1")), READY);
+    }
+
+    /** The client leaves while its txn waits for a connection that rests behind its last answer. */
+    @Test
+    void oneWhoseClientLeavesWhileItsConnectionRestsIsNotSent() throws Exception {
+        try (Peer.Listener member = new Peer.Listener()) {
+            listed(member.port());
+            carryToTheOne();
+            Peer at = letIn(member.accept());
+            answer(at);
+            assertThat(next().end()).isEqualTo(End.COMMITTED);
+            // In one turn of the loop, so that the rest cannot end in between.
+            loop.run(() -> {
+                mayGo = false;
+                members.carry(errandToTheOne());
+            });
+            assertThat(next().end()).isEqualTo(End.MOOT);
+            mayGo = true;
+            carryToTheOne();
+            assertThat(at.until("'\0")).contains("id=r" + (submissions - 1)).doesNotContain("id=r" + (submissions - 2));
+            answer(at);
+            assertThat(next().end()).isEqualTo(End.COMMITTED);
+        }
+    }
+
+    private Exchange.Errand errandToTheOne() {
+        return new Exchange.Errand("t", submissions, 1, Statement.parse(wingroad.Given.read("r"
+            + submissions++).getBytes(StandardCharsets.UTF_8)).statement(), clock.now().plus(LONG));
+    }
+
+    /** Gone and back under the same address: what was connected before is not used again, a new connection is. */
+    @Test
+    void oneThatIsGoneAndBackAtItsAddressGetsANewConnection() throws Exception {
+        try (Peer.Listener member = new Peer.Listener()) {
+            listed(member.port());
+            carryToTheOne();
+            Peer before = letIn(member.accept());
+            answer(before);
+            assertThat(next().end()).isEqualTo(End.COMMITTED);
+            loop.run(() -> members.listed(MemberList.parse(("{\"rev\":2,\"all\":false,\"targets\":[" + entry("s-moves", member.port(),
+                "gone") + "]}").getBytes(StandardCharsets.UTF_8)).list().entries().get(0)));
+            before.awaitEnd();
+            listed(member.port());
+            carryToTheOne();
+            answer(letIn(member.accept()));
+            assertThat(next().end()).isEqualTo(End.COMMITTED);
+        }
+    }
+
+    /** The member closes in the moment in which a statement goes out: it may have run, and has one end. */
+    @Test
+    void oneThatClosesInTheMomentOfUseHasOneEnd() throws Exception {
+        for (boolean resets : new boolean[] {true, false}) {
+            try (Peer.Listener member = new Peer.Listener()) {
+                listed(member.port());
+                carryToTheOne();
+                Peer at = letIn(member.accept());
+                answer(at);
+                assertThat(next().end()).isEqualTo(End.COMMITTED);
+                carryToTheOne();
+                at.until("'\0");
+                if (resets) {
+                    at.reset();
+                } else {
+                    at.close();
+                }
+                assertThat(next().end()).isEqualTo(End.RESET);
+                assertThat(ends).isEmpty();
+            }
+        }
+    }
+
+    /** Guards the thread against notices without end, up to the txn's expiry: bounded in bytes as well. */
+    @Test
+    void anAnswerWithoutEndIsBrokenOff() throws Exception {
+        try (Peer.Listener member = new Peer.Listener()) {
+            listed(member.port());
+            carryToTheOne();
+            Peer at = letIn(member.accept());
+            at.send(message('T', DESCRIPTION));
+            byte[] notice = message('N', new byte[1000]);
+            try {
+                while (true) {
+                    at.send(notice);
+                }
+            } catch (IOException brokenOff) {
+                assertThat(next().end()).isEqualTo(End.ERROR);
+            }
+        }
+    }
 }
--- a/src/test/java/wingroad/protocol/HttpReplyTest.java
+++ b/src/test/java/wingroad/protocol/HttpReplyTest.java
@@ -89,4 +89,19 @@
             assertThat(MemberList.parse(bad.getBytes(StandardCharsets.UTF_8)).list()).as(bad).isNull();
         }
     }
+
+    /** Guards the thread against an answer that goes on for ever with what is none yet, or no more. */
+    @Test
+    void interimAnswersAndTrailersHaveAnEnd() {
+        for (String[] endless : new String[][] {{"", "HTTP/1.1 100 Continue\r\n\r\n"},
+            {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n", "a: b\r\n"}}) {
+            HttpReply r = new HttpReply();
+            r.take(ByteBuffer.wrap(endless[0].getBytes(StandardCharsets.US_ASCII)));
+            HttpReply.State s = HttpReply.State.WAITING;
+            for (int i = 0; i < 1000; i++) {
+                s = r.take(ByteBuffer.wrap(endless[1].getBytes(StandardCharsets.US_ASCII)));
+            }
+            assertThat(s).isEqualTo(HttpReply.State.BROKEN);
+        }
+    }
 }
