--- a/src/test/java/wingroad/driver/MembersTest.java
+++ b/src/test/java/wingroad/driver/MembersTest.java
@@ -54,8 +54,11 @@
     }
 
     private Members members(Duration connectTime) {
-        return new Members(loop, clock, new Tally(), Map.of("connect-time-out", connectTime, "idle-time",
-            Duration.ofSeconds(30)), new Results() {
+        return members(connectTime, Duration.ofSeconds(30));
+    }
+
+    private Members members(Duration connectTime, Duration idleTime) {
+        return new Members(loop, clock, new Tally(), Map.of("connect-time-out", connectTime, "idle-time", idleTime), new Results() {
             @Override
             public void sighted(long member, boolean answered, Exchange.Report report) {
                 // nobody plans work here
@@ -589,4 +592,17 @@
             }
         }
     }
+
+    /** Guards against connections that are closed behind each answer, where members keep idle ones for a short time only. */
+    @Test
+    void aConnectionIsUsedAgainWhereTheIdleTimeIsShorterThanTheConnectingTime() throws Exception {
+        members = members(Duration.ofSeconds(10), Duration.ofSeconds(8));
+        try (StandInMember m = new StandInMember(false, (sql, s) -> s.row("x", false))) {
+            for (int i = 0; i < 3; i++) {
+                carry(m.port(), LONG);
+                assertThat(next().end()).isEqualTo(End.COMMITTED);
+            }
+            assertThat(m.connections.get()).isEqualTo(1);
+        }
+    }
 }
