Module: a member that has said it is a replica proves its data, whatever the record says of it

At fault: choose() let repeatable reads go to the silent primary on record without proof, also where the search had begun with its own word that it is a replica, or such a word had come by a probe while its work hung; heard() drops a replica's word dated (by its old position) before its last claim, so it stood on as the primary; mayStillGo asked no proof of whoever is on record. Change: Member.replicaAt, its last such word that no later claim has taken back; who has one proves its position as any replica does, and reads of the latest wait for a claim.

--- a/src/main/java/wingroad/routing/TxnRouter.java
+++ b/src/main/java/wingroad/routing/TxnRouter.java
@@ -336,16 +336,16 @@
     }
 
     /**
-     * Guards the rules on drains, old data, answered txns and repeats, and writes for a primary that has moved, against
-     * changes while a connection opens: a window may end meanwhile.
+     * Guards the rules on drains, old data, answered txns and repeats, and writes for a primary that has
+     * moved, against changes while a connection opens: a window may end meanwhile.
      */
     @Override
     public boolean mayStillGo(Duration now, String id, long member) {
         Txn t = txns.get(id);
         Member m = members.get(member);
-        Duration need = t == null || checked || m == m.group.primary ? null : needs(t, now);
+        Duration need = t == null || checked || stands(m) ? null : needs(t, now);
         return t != null && !mustStop(m, now, m == m.group.primary)
-            && (!t.type.toPrimary() || m == m.group.primary)
+            && (!t.type.toPrimary() || (t.type.update() ? m == m.group.primary : stands(m)))
             && (mayRepeat(t, now) || t.submissions.stream().noneMatch(s -> !s.out() && s.mayHaveRun()))
             && (need == null || m.position != null && m.position.compareTo(need) >= 0);
     }
@@ -411,6 +411,7 @@
     /** Evidence of a role, with the time that it is proven for; the newest claim to be primary wins. */
     private void heard(Member m, Role role, Duration at, Duration now) {
         Group g = m.group;
+        m.replicaAt = role == Role.REPLICA ? now : m.replicaAt;
         if (m.roleAt != null && at.compareTo(m.roleAt) < 0) {
             return;
         }
@@ -427,6 +428,7 @@
             || m.lostSince == null && m.shunnedUntil.compareTo(now) > 0)) {
             return;
         }
+        m.replicaAt = m.replicaAt != null && at.compareTo(m.replicaAt) < 0 ? m.replicaAt : null;
         if (g.primary == m && !g.searching) {
             g.claimAt = at;
             return;
@@ -451,6 +453,14 @@
         touch(g);
     }
 
+    /**
+     * It is the primary on record and has not said otherwise since it last claimed to be. Guards against old
+     * data: its word may be dated before that claim, and while it is searched for it stays on record.
+     */
+    private static boolean stands(Member m) {
+        return m == m.group.primary && m.replicaAt == null;
+    }
+
     private void search(Group g, Duration now, String cause) {
         if (!g.searching) {
             g.searching = true;
@@ -526,6 +536,10 @@
                     i.remove();
                     continue;
                 }
+                if (t.type.freshness() == Freshness.LATEST && !stands(p)) {
+                    probe(p, now);
+                    continue;
+                }
                 if (p.out.size() >= room(p, now) || now.compareTo(p.shunnedUntil) < 0) {
                     // Guards against writes held for a crowd that is over: only a newer report ends it.
                     if (crowded(p, now) && now.minus(p.waitingAt).compareTo(memory.dividedBy(2)) > 0) {
@@ -585,8 +599,8 @@
         Member p = g.primary;
         // Guards against writes held for one stuck connection: a repeatable read asks the silent primary,
         // where such reads of all drivers together are no crowd.
-        if (crowd() < 1 && g.searching && p != null && p.silent && t.type.repeat() == Repeat.REPEATABLE
-            && !mustStop(p, now, true)
+        if (crowd() < 1 && g.searching && p != null && p.silent && stands(p) && !mustStop(p, now, true)
+            && t.type.repeat() == Repeat.REPEATABLE
             && p.out.stream().allMatch(s -> s.sentAt.compareTo(g.searchSince) < 0)) {
             return p;
         }
@@ -597,7 +611,7 @@
         int fresh = 0;
         for (Member m : g.members) {
             // While it is in doubt the primary serves what its proven position allows, as any replica.
-            if (m == g.primary && !g.searching || mustStop(m, now, false)) {
+            if (stands(m) && !g.searching || mustStop(m, now, false)) {
                 continue;
             }
             replicas++;
@@ -637,7 +651,8 @@
         if (checked && leastBehind != null && fresh == 0 && t.submissions.size() < 2) {
             return leastBehind;
         }
-        if (asked && fresh == 0 || p == null || g.searching || away(p, now) || mustStop(p, now, true)) {
+        if (asked && fresh == 0 || p == null || g.searching || !stands(p) || away(p, now)
+            || mustStop(p, now, true)) {
             return null;
         }
         // Reads that need the primary leave a part of its room to the writes.
--- a/src/main/java/wingroad/state/Member.java
+++ b/src/main/java/wingroad/state/Member.java
@@ -22,6 +22,8 @@
 
     /** The time for which its role was last proven. */
     public Duration roleAt;
+    /** When it said that it is a replica, or null: it has not since it last claimed to be the primary. */
+    public Duration replicaAt;
     /** Proven lower bound of its log position, or null. */
     public Duration position;
     /** How far behind it was when that position was heard, and when. */
--- a/src/test/java/wingroad/routing/TxnRouterTest.java
+++ b/src/test/java/wingroad/routing/TxnRouterTest.java
@@ -7,6 +7,7 @@
 
 import java.time.Duration;
 import java.util.List;
+import org.assertj.core.groups.Tuple;
 import org.junit.jupiter.api.Test;
 import wingroad.Given;
 import wingroad.routing.Decision.Kind;
@@ -885,4 +886,58 @@
                 .doesNotContain(Kind.SUBMIT, Kind.DECLINE, Kind.ROLL_BACK, Kind.CANCEL);
         }
     }
+
+    /** Guards rule 5: what has said that it is a replica proves its data, whatever it was, and whatever it says it by. */
+    @Test
+    void aSilentPrimaryThatHasSaidItIsAReplicaIsAskedNoMore() {
+        Given g = new Given().type(READ, "repeatable", "recent", 600, 3000).with("txn-type.0.oldest-data", at(1000))
+            .group(1, 2, 3).roles(5, 2, 3);
+        g.txn(10, "w", WRITE, 5000);
+        assertThat(of(Kind.SUBMIT, g.decisions(10))).hasSize(1);
+        // It answers none of what it holds: writes are held, and a repeatable read asks it all the same.
+        g.until(1900);
+        g.txn(1900, "v", WRITE, 5000);
+        g.txn(1900, "r", READ, 3000);
+        assertThat(of(Kind.SUBMIT, g.decisions(1900))).extracting(Decision::txn, Decision::member)
+            .containsExactly(Tuple.tuple("r", 1L));
+        g.ends(1950, "r", 0, 1, End.RESET, Role.UNKNOWN);
+        // Back from its pause it is a replica, with data from before; its write has not answered yet.
+        g.says(2000, 1, Role.REPLICA, 20);
+        g.txn(2001, "s", READ, 3000);
+        assertThat(of(Kind.SUBMIT, g.until(2010))).extracting(Decision::member).doesNotContain(1L);
+    }
+
+    /** Its word is dated by its position, which may lie before its own last claim: it counts all the same. */
+    @Test
+    void aPrimaryThatSaysItIsAReplicaAtAnOldPositionProvesItsData() {
+        for (String reads : new String[] {"recent", "latest"}) {
+            Given g = new Given().type(READ, "repeatable", reads, 600, 3000).with("txn-type.0.oldest-data", at(1000))
+                .group(1).roles(5);
+            g.says(100, 1, Role.PRIMARY, 100);
+            g.txn(110, "r", READ, 3000);
+            assertThat(of(Kind.SUBMIT, g.decisions(110))).as(reads).hasSize(1);
+            g.ends(150, "r", 0, 1, End.COMMITTED, Role.UNKNOWN);
+            g.until(1999);
+            g.says(2000, 1, Role.REPLICA, 90);
+            g.txn(2001, "s", READ, 3000);
+            assertThat(of(Kind.SUBMIT, g.until(2010))).as(reads).isEmpty();
+            g.says(2050, 1, Role.PRIMARY, 2045);
+            assertThat(of(Kind.SUBMIT, g.until(2060))).as(reads).extracting(Decision::txn).containsExactly("s");
+        }
+    }
+
+    /** The word comes while the connection opens. */
+    @Test
+    void aReadForAPrimaryThatSaysItIsAReplicaWhileItsConnectionOpensIsNotSent() {
+        for (String reads : new String[] {"recent", "latest"}) {
+            Given g = new Given().type(READ, "repeatable", reads, 600, 3000).with("txn-type.0.oldest-data", at(1000))
+                .group(1).roles(5);
+            g.says(2000, 1, Role.PRIMARY, 2000);
+            g.txn(2010, "r", READ, 3000);
+            assertThat(of(Kind.SUBMIT, g.decisions(2010))).hasSize(1);
+            assertThat(g.router.mayStillGo(at(2015), "r", 1)).isTrue();
+            g.says(2020, 1, Role.REPLICA, 90);
+            assertThat(g.router.mayStillGo(at(3100), "r", 1)).as(reads).isFalse();
+        }
+    }
 }
