Module: many members that start at once share what is sent as many, not as the few they are worth

At fault: TxnRouter.credit divided what this driver sends to a kind by the sum of the members' warm parts. Where most of a kind start at once that sum is a fifth of their number, so each was allowed several times a warm one's share, cold as it was. Change: each listed member counts whole.

--- a/src/main/java/wingroad/state/Load.java
+++ b/src/main/java/wingroad/state/Load.java
@@ -7,8 +7,8 @@
     public final Duration span;
     /** Work submitted, in calm answer times; its half-life is the span. */
     public final DecayingSum sent;
-    /** How many members of the kind are listed, a cold one counted by its warm part, and when counted. */
-    public double members;
+    /** How many members of the kind are listed, and when counted. */
+    public long members;
     public Duration countedAt;
 
     public Load(Duration span) {
--- a/src/test/java/wingroad/routing/TxnRouterTest.java
+++ b/src/test/java/wingroad/routing/TxnRouterTest.java
@@ -940,4 +940,31 @@
             assertThat(g.router.mayStillGo(at(3100), "r", 1)).as(reads).isFalse();
         }
     }
+
+    /** Guards rule 4 where most of a kind start at once: what is left of it must not be shared out among few. */
+    @Test
+    void manyThatStartAtOnceEachGetNoMoreThanTheirWarmPartBears() {
+        Given g = new Given().type(READ, "repeatable", "loose", 600, 2000).group(1, 2, 3, 4, 5, 6, 7, 8, 9, 10)
+            .roles(5, 2, 3, 4, 5, 6, 7, 8, 9, 10);
+        // 200 reads in a second, each answered at once: some 22 a replica.
+        int[] perMember = new int[11];
+        for (int ms = 10; ms < 6000; ms += 5) {
+            if (ms == 5000) {
+                g.router.listStarts(at(ms), false);
+                for (long m = 2; m <= 10; m++) {
+                    g.listed(ms, m, false, at(ms));
+                }
+                g.router.listEnds(at(ms));
+            }
+            g.txn(ms, "r" + ms, READ, 2000);
+            for (Decision d : of(Kind.SUBMIT, g.decisions(ms))) {
+                perMember[(int) d.member()] += ms < 5000 ? 0 : 1;
+                g.ends(ms, d.txn(), d.submission(), d.member(), End.COMMITTED, Role.UNKNOWN);
+            }
+        }
+        // Twice what a quarter to a third of a warm one's 22 comes to: at 0.35 of them, 15.
+        for (int m = 2; m <= 10; m++) {
+            assertThat(perMember[m]).as("member " + m).isBetween(1, 15);
+        }
+    }
 }
