Names: the deployment's configuration is Configuration, no longer Commission

What a driver is told at its start was called a commission; everybody else calls it its configuration, and the program's own messages did already. Behaviour as before.

--- a/src/main/java/wingroad/driver/Commission.java
+++ b/src/main/java/wingroad/driver/Configuration.java
@@ -13,7 +13,7 @@
 import wingroad.terms.TermsCheck;
 
 /** What a driver is told at its start: who it is, where it listens, whom it asks, and the deployment. */
-record Commission(String name, InetSocketAddress listen, InetSocketAddress discovery, long seed, int descriptors,
+record Configuration(String name, InetSocketAddress listen, InetSocketAddress discovery, long seed, int descriptors,
                   long memory, MemberList known, Map<String, Object> settings) {
     private static final int USUAL_DESCRIPTORS = 1024;
     private static final int USUAL_MEMORY_MB = 192;
@@ -31,7 +31,7 @@
     }
 
     /** From the file that LB_CONFIG names; the other variables count where the file has no such value. */
-    static Commission read(Map<String, String> env) throws Refused {
+    static Configuration read(Map<String, String> env) throws Refused {
         String file = env.get("LB_CONFIG");
         if (file == null || file.isEmpty()) {
             throw new Refused("LB_CONFIG names no configuration");
@@ -53,7 +53,7 @@
             if (!problems.isEmpty()) {
                 throw new Refused("the settings can't be used: " + String.join("; ", problems));
             }
-            return new Commission(word(all, "name", env.getOrDefault("LB_NAME", "driver")),
+            return new Configuration(word(all, "name", env.getOrDefault("LB_NAME", "driver")),
                 address(word(all, "listen", env.get("LB_LISTEN")), "listen"),
                 address(word(all, "discovery", env.get("LB_DISCOVERY")), "discovery"),
                 seed(all.get("seed")), descriptors, memory << 20,
@@ -68,7 +68,7 @@
     }
 
     /** Whether the other one differs in nothing that counts while the program runs, apart from discovery's address. */
-    boolean sameButForDiscovery(Commission other) {
+    boolean sameButForDiscovery(Configuration other) {
         return listen.equals(other.listen) && descriptors == other.descriptors && memory == other.memory
             && settings.equals(other.settings);
     }
--- a/src/main/java/wingroad/driver/Driver.java
+++ b/src/main/java/wingroad/driver/Driver.java
@@ -50,7 +50,7 @@
     private final CountDownLatch done = new CountDownLatch(1);
     private final Log log;
     private final Map<String, String> env;
-    private Commission commission;
+    private Configuration configuration;
     /** The operator's own file, or null: all that it could switch on is off. */
     private Path operatorPath;
     private OperatorFile operator;
@@ -81,9 +81,9 @@
     /** All that are connected have been told the end. */
     private boolean parting;
 
-    private Driver(Map<String, String> env, Commission c, PrintStream out, OperatorFile operator) throws IOException {
+    private Driver(Map<String, String> env, Configuration c, PrintStream out, OperatorFile operator) throws IOException {
         this.env = env;
-        commission = c;
+        configuration = c;
         log = new Log(clock, out);
         zones = c.names("azs");
         kinds = c.names("shapes");
@@ -127,7 +127,7 @@
                     begun.get().loop.run(begun.get()::reload);
                 }
             });
-            Commission c = Commission.read(env);
+            Configuration c = Configuration.read(env);
             Driver driver = new Driver(env, c, out, operator);
             driver.operatorPath = operatorPath;
             driver.operator = operator;
@@ -138,7 +138,7 @@
             }
             driver.start();
             return 0;
-        } catch (Commission.Refused e) {
+        } catch (Configuration.Refused e) {
             err.println("wingroad: " + e.getMessage());
         } catch (IOException | RuntimeException e) {
             err.println("wingroad: can't start: " + e.getMessage());
@@ -149,13 +149,13 @@
     /** Reads the configuration as a start would and serves nobody; returns the exit status. */
     public static int check(Map<String, String> env, PrintStream out, PrintStream err) {
         try {
-            Commission c = Commission.read(env);
+            Configuration c = Configuration.read(env);
             Map<String, Object> terms = Terms.of(c.settings());
             out.println("list " + terms.get("member-list") + ", reports " + terms.get("reports") + ", members check "
                 + terms.get("members-check") + ", drivers " + ((Double) terms.get("drivers")).longValue() + ", txn types "
                 + c.names("grades").size());
             return 0;
-        } catch (Commission.Refused e) {
+        } catch (Configuration.Refused e) {
             err.println("wingroad: " + e.getMessage());
             return 2;
         }
@@ -164,13 +164,13 @@
     /** Plays the rehearsal alone, for an archive of the classes that serving takes; returns the exit status. */
     public static int rehearse(Map<String, String> env, PrintStream err) {
         try {
-            Commission c = Commission.read(env);
+            Configuration c = Configuration.read(env);
             CountDownLatch over = new CountDownLatch(1);
             Rehearsal.play(new Loop(1, Runtime.getRuntime().maxMemory(), Throwable::printStackTrace), c.names("grades"),
                 Terms.of(c.settings()), over::countDown);
             over.await();
             return 0;
-        } catch (Commission.Refused | IOException | InterruptedException e) {
+        } catch (Configuration.Refused | IOException | InterruptedException e) {
             err.println("wingroad: " + e.getMessage());
             return 2;
         }
@@ -181,7 +181,7 @@
         CompletableFuture<Void> begun = new CompletableFuture<>();
         // What discovery's agent has counts as told from the process's first moment: it is asked before anybody is let in.
         loop.run(() -> {
-            takeIn(work == null ? commission.known() : work.effective(commission.known()));
+            takeIn(work == null ? configuration.known() : work.effective(configuration.known()));
             if (asked) {
                 listTried = true;
             } else {
@@ -192,7 +192,7 @@
                 });
             }
         });
-        Rehearsal.play(loop, commission.names("grades"), Terms.of(commission.settings()), () -> {
+        Rehearsal.play(loop, configuration.names("grades"), Terms.of(configuration.settings()), () -> {
             rehearsed = true;
             serveOnceReady(begun);
         });
@@ -200,7 +200,7 @@
             begun.join();
         } catch (CompletionException e) {
             done.countDown();
-            throw new IOException(commission.listen() + ": " + e.getCause().getMessage());
+            throw new IOException(configuration.listen() + ": " + e.getCause().getMessage());
         }
         loop.after(TALLY_EVERY, this::report);
         if (operator != null && operator.fleet() != null) {
@@ -226,14 +226,14 @@
     private void serve() throws IOException {
         openDoor();
         if (work == null) {
-            clients.listen(commission.listen());
+            clients.listen(configuration.listen());
         } else {
             // Until the plan is known there is next to nobody to send to: clients wait a moment, or go elsewhere.
-            clients.bind(commission.listen());
+            clients.bind(configuration.listen());
             work.whenKnown(clients::letIn);
         }
         InetSocketAddress at = clients.at();
-        log.line(commission.name() + " serves " + at.getHostString() + ":" + at.getPort() + ", knows "
+        log.line(configuration.name() + " serves " + at.getHostString() + ":" + at.getPort() + ", knows "
             + members.count() + " members, descriptors for " + loop.mostChannels());
         serving = true;
         if (reloadAsked) {
@@ -244,8 +244,8 @@
     /** Where it can't begin, clients are served all the same. */
     private void joinFleet() {
         try {
-            FleetRules rules = work == null ? operator.fleet() : ChoreDesk.settled(operator.fleet(), Terms.of(commission.settings()));
-            fleet = FleetPart.begin(rules, loop, clock, exchange, discovery, commission, !asked, this::learn, work, log);
+            FleetRules rules = work == null ? operator.fleet() : ChoreDesk.settled(operator.fleet(), Terms.of(configuration.settings()));
+            fleet = FleetPart.begin(rules, loop, clock, exchange, discovery, configuration, !asked, this::learn, work, log);
         } catch (IOException e) {
             log.line("fleet: can't begin: " + e.getMessage());
         }
@@ -253,7 +253,7 @@
 
     private void openDoor() {
         if (door == null && operator != null && operator.door() != null) {
-            door = new FairDoor(Terms.of(commission.settings()), operator.door(), commission.seed(), log::line);
+            door = new FairDoor(Terms.of(configuration.settings()), operator.door(), configuration.seed(), log::line);
             exchange.passBy(door);
             clients.tellWhoAsks(operator.door());
             log.line("door: " + operator.door().tenants().size() + " tenants listed, "
@@ -334,16 +334,16 @@
     }
 
     private void reloadConfiguration() {
-        Commission next;
+        Configuration next;
         try {
-            next = Commission.read(env);
-        } catch (Commission.Refused e) {
+            next = Configuration.read(env);
+        } catch (Configuration.Refused e) {
             log.line("configuration not taken, the old one stays: " + e.getMessage());
             return;
         }
-        log.line("configuration taken: discovery at " + next.discovery() + (next.sameButForDiscovery(commission) ? ""
+        log.line("configuration taken: discovery at " + next.discovery() + (next.sameButForDiscovery(configuration) ? ""
             : "; what else is new in it counts from the next start"));
-        commission = next;
+        configuration = next;
         discovery.turnTo(next.discovery());
     }
 
--- a/src/main/java/wingroad/driver/FleetPart.java
+++ b/src/main/java/wingroad/driver/FleetPart.java
@@ -24,12 +24,12 @@
      *
      * @param follows whether discovery's changes are followed; where the list is asked for, each driver asks for itself
      */
-    static FleetPart begin(FleetRules rules, Loop loop, Clock clock, Exchange exchange, Discovery discovery, Commission commission,
-                           boolean follows, Consumer<MemberList> learn, WorkDesk work, Log log) throws IOException {
+    static FleetPart begin(FleetRules rules, Loop loop, Clock clock, Exchange exchange, Discovery discovery,
+                           Configuration configuration, boolean follows, Consumer<MemberList> learn, WorkDesk work, Log log) throws IOException {
         ListDesk lists = rules.listCheck() == null || !follows ? null
             : new ListDesk(loop, clock, discovery, rules, discovery.holds(), learn, log::line);
-        ChoreDesk desk = new ChoreDesk(loop, exchange, Terms.of(commission.settings()));
-        Fleet fleet = Fleet.begin(rules.named(commission.name()), log::line, log::fault, desk, (epoch, m) -> {
+        ChoreDesk desk = new ChoreDesk(loop, exchange, Terms.of(configuration.settings()));
+        Fleet fleet = Fleet.begin(rules.named(configuration.name()), log::line, log::fault, desk, (epoch, m) -> {
             if (lists != null) {
                 lists.letter(epoch, m);
             }
