MembersTest: a client that leaves while its connection rests, forced in the turn of the answer

The next txn is now handed over in the loop's turn in which the answer ends, when the rest has begun and can't be over. As strict as before: what must not be sent is looked for on the wire.

--- a/src/test/java/wingroad/driver/MembersTest.java
+++ b/src/test/java/wingroad/driver/MembersTest.java
@@ -39,6 +39,8 @@
     private Members members = members(CONNECT);
     private int submissions;
     private volatile boolean mayGo = true;
+    /** Runs once, in the turn of the loop in which the next submission ends. */
+    private volatile Runnable atItsEnd;
 
     private record Ended(End end, Exchange.Told told, byte[] row) {
     }
@@ -67,6 +69,11 @@
                 @Override
                 public void ended(Exchange.Errand e, End end, Duration took, Exchange.Told told, byte[] row) {
                     ends.add(new Ended(end, told, row));
+                    Runnable then = atItsEnd;
+                    atItsEnd = null;
+                    if (then != null) {
+                        then.run();
+                    }
                 }
 
                 @Override
@@ -511,13 +518,13 @@
             listed(member.port());
             carryToTheOne();
             Peer at = letIn(member.accept());
-            answer(at);
-            assertThat(next().end()).isEqualTo(End.COMMITTED);
-            // In one turn of the loop, so that the rest cannot end in between.
-            loop.run(() -> {
+            // In the turn of its answer: its rest has begun, and can't be over.
+            atItsEnd = () -> {
                 mayGo = false;
                 members.carry(errandToTheOne());
-            });
+            };
+            answer(at);
+            assertThat(next().end()).isEqualTo(End.COMMITTED);
             assertThat(next().end()).isEqualTo(End.MOOT);
             mayGo = true;
             carryToTheOne();
