Names: a connection is a Connection, no longer a Link; its two users are named after it

transport.Link, ClientLink and MemberLink are Connection, ClientConnection and MemberConnection, with their fields.

--- a/src/main/java/wingroad/driver/ClientConnection.java
+++ b/src/main/java/wingroad/driver/ClientConnection.java
@@ -6,13 +6,13 @@
 import wingroad.protocol.ClientInput;
 import wingroad.protocol.ClientOutput;
 import wingroad.protocol.Statement;
-import wingroad.transport.Link;
+import wingroad.transport.Connection;
 
 /**
  * One client's connection. Its commands are taken one after the other, each when the last is answered. What it may
- * take of the driver is bounded in bytes and in time; {@link #overdue} says when its time is over.
+ * take of the driver is bounded in bytes and in time; {@connection #overdue} says when its time is over.
  */
-final class ClientLink implements Link.Owner, Exchange.Asker {
+final class ClientConnection implements Connection.Owner, Exchange.Asker {
     /** A client is to be told within 3 s of its connecting; half of that leaves a second for the end, see LINGER. */
     private static final Duration START_TIME = Duration.ofMillis(1500);
     /** A command that has begun comes whole at once, or its client is stuck: the largest takes some ms. */
@@ -33,7 +33,7 @@
 
     private final Clients side;
     private final ClientInput input = new ClientInput();
-    private Link link;
+    private Connection connection;
     private final int number;
     private final Duration connectedAt;
     /** Since when it is as it is: answered, leaving. */
@@ -65,31 +65,31 @@
     /** How many bytes had been written when it was last looked at. */
     private long wrote;
 
-    ClientLink(Clients side, Duration since, int number) {
+    ClientConnection(Clients side, Duration since, int number) {
         this.side = side;
         this.connectedAt = since;
         this.since = since;
         this.number = number;
     }
 
-    void begin(Link link) {
-        this.link = link;
-        link.begin();
+    void begin(Connection connection) {
+        this.connection = connection;
+        connection.begin();
     }
 
     /** It has a txn, an answer that is not written yet, or a command that was not looked at yet. */
     boolean busy() {
-        return txn != null || taking || link.unsent() || link.unread() && stuckSince == null && !pausing && !leaving;
+        return txn != null || taking || connection.unsent() || connection.unread() && stuckSince == null && !pausing && !leaving;
     }
 
     /** A part of a command has come, and nothing else is under way: cut off now, its client would not know how far it came. */
     boolean inCommand() {
-        return stuckSince != null && link.unread() && !leaving;
+        return stuckSince != null && connection.unread() && !leaving;
     }
 
     @Override
     public boolean takes() {
-        return leaving || txn == null && !pausing && !link.unsent();
+        return leaving || txn == null && !pausing && !connection.unsent();
     }
 
     @Override
@@ -98,12 +98,12 @@
             thrownAway += in.remaining();
             in.position(in.limit());
             if (thrownAway > MOST_THROWN_AWAY) {
-                link.readNoMore();
+                connection.readNoMore();
             }
             return;
         }
         // One that does not read its answers gets no further ones: at most one waits to be written.
-        while (txn == null && !leaving && !pausing && !link.unsent()) {
+        while (txn == null && !leaving && !pausing && !connection.unsent()) {
             ClientInput.Message m = input.next(in);
             if (m == null) {
                 boolean part = in.hasRemaining();
@@ -119,7 +119,7 @@
         switch (m.kind()) {
             case STARTUP, NEWER_STARTUP -> {
                 started = true;
-                caller = side.caller(link.from(), m.bytes());
+                caller = side.caller(connection.from(), m.bytes());
                 send(new ClientOutput().welcome(m.kind() == ClientInput.Kind.NEWER_STARTUP, number));
             }
             case ENCRYPTION -> send(new ClientOutput().noEncryption());
@@ -210,7 +210,7 @@
         pausing = true;
         side.after(FIRST_PAUSE.multipliedBy(1L << wrong - 1), () -> {
             pausing = false;
-            link.offerAgain();
+            connection.offerAgain();
         });
         ClientOutput out = new ClientOutput().error(false, code, text, null);
         send(ready ? out.ready() : out);
@@ -228,7 +228,7 @@
     @Override
     public void committed(byte[] row) {
         settled();
-        link.send(ClientOutput.row(row));
+        connection.send(ClientOutput.row(row));
     }
 
     @Override
@@ -258,7 +258,7 @@
 
     private void send(ClientOutput out) {
         since = side.now();
-        link.send(out.bytes());
+        connection.send(out.bytes());
     }
 
     @Override
@@ -266,8 +266,8 @@
         if (leaving) {
             return;
         }
-        if (link.unread()) {
-            link.offerAgain();
+        if (connection.unread()) {
+            connection.offerAgain();
         } else if (txn == null && asked) {
             side.idles(this);
             if (side.closing()) {
@@ -286,16 +286,16 @@
     void leave() {
         leaving = true;
         since = side.now();
-        link.finish();
+        connection.finish();
     }
 
     /** Called now and then: ends what has taken too long. A txn has its own time, which the module keeps. */
     void overdue(Duration now) {
-        if (wrote != link.wrote()) {
-            wrote = link.wrote();
+        if (wrote != connection.wrote()) {
+            wrote = connection.wrote();
             since = now;
         }
-        if (link.unsent() ? past(since, WRITE_TIME, now) : leaving && past(since, LINGER, now)) {
+        if (connection.unsent() ? past(since, WRITE_TIME, now) : leaving && past(since, LINGER, now)) {
             close();
         } else if (leaving || busy() || pausing) {
             return;
@@ -329,11 +329,11 @@
 
     /** It was told the end, or has said nothing for longer than the given time. */
     boolean ofNoUse(Duration now, Duration time) {
-        return leaving && !link.unsent() || !started && past(connectedAt, time, now);
+        return leaving && !connection.unsent() || !started && past(connectedAt, time, now);
     }
 
     void close() {
-        link.close();
+        connection.close();
         ended(0, false, null);
     }
 
--- a/src/main/java/wingroad/driver/Clients.java
+++ b/src/main/java/wingroad/driver/Clients.java
@@ -40,7 +40,7 @@
     private final Duration longestWait;
     private final IntPredicate groupKnown;
     /** In the order in which they were last answered, the one longest ago first. */
-    private final LinkedHashSet<ClientLink> links = new LinkedHashSet<>();
+    private final LinkedHashSet<ClientConnection> connections = new LinkedHashSet<>();
     /** The ids of statements until their clients' time is over: none comes twice. */
     private final Map<String, Duration> ids = new HashMap<>();
     /** Where tenants' names are looked for, or null: nobody asks for them. */
@@ -80,11 +80,11 @@
         letIn();
     }
 
-    /** The address is taken, but whoever comes waits until {@link #letIn}. */
+    /** The address is taken, but whoever comes waits until {@connection #letIn}. */
     void bind(InetSocketAddress at) throws IOException {
         door = new Door(loop, at, ClientInput.MOST + 1024, this::room, in -> {
-            ClientLink c = new ClientLink(this, exchange.now(), ++numbers);
-            links.add(c);
+            ClientConnection c = new ClientConnection(this, exchange.now(), ++numbers);
+            connections.add(c);
             c.begin(in.apply(c));
             if (ended) {
                 // Accepted in the moment in which all others were told the end.
@@ -131,7 +131,7 @@
 
     private void look() {
         Duration now = exchange.now();
-        for (ClientLink c : new ArrayList<>(links)) {
+        for (ClientConnection c : new ArrayList<>(connections)) {
             c.overdue(now);
         }
         ids.values().removeIf(until -> until.compareTo(now) <= 0);
@@ -174,8 +174,8 @@
      */
     boolean closeOneIdle() {
         Duration now = exchange.now();
-        ClientLink idle = null;
-        for (ClientLink c : links) {
+        ClientConnection idle = null;
+        for (ClientConnection c : connections) {
             if (c.ofNoUse(now, WORD_WITHIN)) {
                 tally.count("useless client closed for room");
                 c.close();
@@ -199,7 +199,7 @@
     }
 
     /** The txn's name, or null where it is to be declined at once for want of descriptors. */
-    String arrived(Statement s, ClientLink from) {
+    String arrived(Statement s, ClientConnection from) {
         if (crowded()) {
             return null;
         }
@@ -219,21 +219,21 @@
         }
     }
 
-    void idles(ClientLink c) {
-        links.remove(c);
-        links.add(c);
+    void idles(ClientConnection c) {
+        connections.remove(c);
+        connections.add(c);
         letGoOfTooMany();
         door.again();
     }
 
     /**
      * Guards the clients against running out of connections: they hold a part of the descriptors at most, and those that
-     * ask once and stay would fill it. Over {@link #CLIENTS_SHARE} the one idle for longest is let go.
+     * ask once and stay would fill it. Over {@connection #CLIENTS_SHARE} the one idle for longest is let go.
      */
     private void letGoOfTooMany() {
         int asked = 0;
-        ClientLink longest = null;
-        for (ClientLink c : links.size() > loop.mostChannels() / CLIENTS_SHARE ? links : List.<ClientLink>of()) {
+        ClientConnection longest = null;
+        for (ClientConnection c : connections.size() > loop.mostChannels() / CLIENTS_SHARE ? connections : List.<ClientConnection>of()) {
             asked += c.asked() && !c.leaving() ? 1 : 0;
             longest = longest == null && c.asked() && !c.leaving() && !c.busy() && !c.inCommand() ? c : longest;
         }
@@ -243,8 +243,8 @@
         }
     }
 
-    void left(ClientLink c) {
-        links.remove(c);
+    void left(ClientConnection c) {
+        connections.remove(c);
         if (door != null) {
             door.again();
         }
@@ -278,7 +278,7 @@
     /** From now on each connection ends between its txns; new ones are still let in. */
     void beginClosing() {
         closing = true;
-        for (ClientLink c : new ArrayList<>(links)) {
+        for (ClientConnection c : new ArrayList<>(connections)) {
             if (c.asked() && !c.busy() && !c.inCommand()) {
                 c.leave();
             }
@@ -297,7 +297,7 @@
     void endAll() {
         closing = true;
         ended = true;
-        for (ClientLink c : new ArrayList<>(links)) {
+        for (ClientConnection c : new ArrayList<>(connections)) {
             if (!c.leaving()) {
                 c.leave();
             }
@@ -306,7 +306,7 @@
 
     /** Nothing is left to be answered, written or taken. */
     boolean idle() {
-        for (ClientLink c : links) {
+        for (ClientConnection c : connections) {
             if (c.busy() || c.inCommand()) {
                 return false;
             }
@@ -315,6 +315,6 @@
     }
 
     int connections() {
-        return links.size();
+        return connections.size();
     }
 }
--- a/src/main/java/wingroad/driver/Discovery.java
+++ b/src/main/java/wingroad/driver/Discovery.java
@@ -8,7 +8,7 @@
 import java.util.function.Consumer;
 import wingroad.protocol.HttpReply;
 import wingroad.protocol.MemberList;
-import wingroad.transport.Link;
+import wingroad.transport.Connection;
 import wingroad.transport.Loop;
 
 /**
@@ -143,9 +143,9 @@
         }
     }
 
-    private final class Call implements Link.Owner {
+    private final class Call implements Connection.Owner {
         private final boolean watches;
-        private Link link;
+        private Connection connection;
         private HttpReply reply = new HttpReply();
         private Loop.Timer timer;
         private long askedAt;
@@ -160,7 +160,7 @@
         void begin() {
             askedAt = loop.now();
             try {
-                link = Link.open(loop, at, this, 64 * 1024);
+                connection = Connection.open(loop, at, this, 64 * 1024);
             } catch (IOException | RuntimeException e) {
                 loop.run(() -> lost("cannot open: " + e.getMessage()));
                 return;
@@ -182,7 +182,7 @@
             timer.cancel();
             await(watches ? wait.plus(GRACE) : GRACE);
             String path = "/discovery/hosts" + (watches ? "?since=" + version + "&timeout_ms=" + wait.toMillis() : "");
-            link.send(HttpReply.request(at.getHostString() + ":" + at.getPort(), path));
+            connection.send(HttpReply.request(at.getHostString() + ":" + at.getPort(), path));
         }
 
         @Override
@@ -302,8 +302,8 @@
             if (timer != null) {
                 timer.cancel();
             }
-            if (link != null) {
-                link.close();
+            if (connection != null) {
+                connection.close();
             }
             if (watch == this) {
                 watch = null;
--- a/src/main/java/wingroad/driver/MemberConnection.java
+++ b/src/main/java/wingroad/driver/MemberConnection.java
@@ -8,11 +8,11 @@
 import wingroad.protocol.MemberInput;
 import wingroad.protocol.MemberOutput;
 import wingroad.state.Submission.End;
-import wingroad.transport.Link;
+import wingroad.transport.Connection;
 import wingroad.transport.Loop;
 
 /** One connection to a member. It carries one errand at a time; whatever is in doubt closes it. */
-final class MemberLink implements Link.Owner {
+final class MemberConnection implements Connection.Owner {
     private enum Stage { CONNECTING, STARTING, RESTING, IDLE, SENT, CLOSED }
 
     private final Members side;
@@ -20,7 +20,7 @@
     private final InetSocketAddress to;
     private final Loop loop;
     private final MemberInput input = new MemberInput();
-    private Link link;
+    private Connection connection;
     private Stage stage = Stage.CONNECTING;
     private Errand errand;
     /** Since when it carries its errand, or stands idle. */
@@ -33,7 +33,7 @@
     private Loop.Timer errandTimer;
     private Loop.Timer idleTimer;
 
-    private MemberLink(Members side, Members.Place place, InetSocketAddress to, Loop loop) {
+    private MemberConnection(Members side, Members.Place place, InetSocketAddress to, Loop loop) {
         this.side = side;
         this.place = place;
         this.to = to;
@@ -41,10 +41,10 @@
     }
 
     /** Opens one for an errand, which waits until the member has let it in. */
-    static MemberLink open(Members side, Members.Place place, InetSocketAddress to, Loop loop, Duration wait,
+    static MemberConnection open(Members side, Members.Place place, InetSocketAddress to, Loop loop, Duration wait,
                            Errand first) throws IOException {
-        MemberLink m = new MemberLink(side, place, to, loop);
-        m.link = Link.open(loop, to, m, MemberInput.MOST + 1024);
+        MemberConnection m = new MemberConnection(side, place, to, loop);
+        m.connection = Connection.open(loop, to, m, MemberInput.MOST + 1024);
         m.startTimer = loop.after(wait, () -> m.giveUp("not up in time", End.UNREACHABLE));
         m.takeOn(first);
         return m;
@@ -92,13 +92,13 @@
         stage = Stage.SENT;
         written = false;
         long left = Math.max(1, errand.until().minus(side.now()).toMillis());
-        link.send(errand.probe() ? MemberOutput.gauges() : MemberOutput.query(errand.statement().withLeft(left)));
+        connection.send(errand.probe() ? MemberOutput.gauges() : MemberOutput.query(errand.statement().withLeft(left)));
     }
 
     @Override
     public void up() {
         stage = Stage.STARTING;
-        link.send(MemberOutput.startup());
+        connection.send(MemberOutput.startup());
     }
 
     @Override
@@ -270,7 +270,7 @@
     /** Closes one that stands idle. */
     void close() {
         if (stage == Stage.IDLE || stage == Stage.RESTING) {
-            link.send(MemberOutput.terminate());
+            connection.send(MemberOutput.terminate());
         }
         shut();
     }
@@ -283,7 +283,7 @@
                 t.cancel();
             }
         }
-        link.close();
+        connection.close();
         place.closed(this);
     }
 }
--- a/src/main/java/wingroad/driver/Members.java
+++ b/src/main/java/wingroad/driver/Members.java
@@ -42,8 +42,8 @@
     private final Map<String, Place> byUid = new HashMap<>();
     private final Map<Long, Place> byId = new LinkedHashMap<>();
     /** Those that rest: since the last beat, and for longer. */
-    private List<MemberLink> restingNew = new ArrayList<>();
-    private List<MemberLink> resting = new ArrayList<>();
+    private List<MemberConnection> restingNew = new ArrayList<>();
+    private List<MemberConnection> resting = new ArrayList<>();
     private boolean beating;
     private long numbers;
 
@@ -54,16 +54,16 @@
         private InetSocketAddress address;
         /** It is gone, or nobody thinks of it any more. */
         private boolean over;
-        private final Set<MemberLink> links = new LinkedHashSet<>();
-        private final ArrayDeque<MemberLink> idle = new ArrayDeque<>();
+        private final Set<MemberConnection> connections = new LinkedHashSet<>();
+        private final ArrayDeque<MemberConnection> idle = new ArrayDeque<>();
 
         private Place(String uid, long id) {
             this.uid = uid;
             this.id = id;
         }
 
-        void idle(MemberLink link) {
-            idle.add(link);
+        void idle(MemberConnection connection) {
+            idle.add(connection);
         }
 
         /** Whether it is still there: a connection to anywhere else carries nothing new. */
@@ -71,18 +71,18 @@
             return !over && to.equals(address);
         }
 
-        void closed(MemberLink link) {
-            links.remove(link);
-            idle.remove(link);
+        void closed(MemberConnection connection) {
+            connections.remove(connection);
+            idle.remove(connection);
         }
 
         /** The newest that has rested, else the one that has rested longest, or null. */
-        private MemberLink takeIdle() {
-            for (Iterator<MemberLink> i = idle.descendingIterator(); i.hasNext();) {
-                MemberLink link = i.next();
-                if (link.rested()) {
+        private MemberConnection takeIdle() {
+            for (Iterator<MemberConnection> i = idle.descendingIterator(); i.hasNext();) {
+                MemberConnection connection = i.next();
+                if (connection.rested()) {
                     i.remove();
-                    return link;
+                    return connection;
                 }
             }
             return idle.pollFirst();
@@ -154,9 +154,9 @@
     @Override
     public void carry(Errand e) {
         Place p = byId.get(e.member());
-        MemberLink link = p.takeIdle();
-        if (link != null) {
-            link.carry(e);
+        MemberConnection connection = p.takeIdle();
+        if (connection != null) {
+            connection.carry(e);
             return;
         }
         // The last sixteenth is for clients that are only let in to be declined.
@@ -167,7 +167,7 @@
             }
         }
         try {
-            p.links.add(MemberLink.open(this, p, p.address, loop, connectTime, e));
+            p.connections.add(MemberConnection.open(this, p, p.address, loop, connectTime, e));
         } catch (IOException | RuntimeException cause) {
             loop.run(() -> failed(e, End.UNREACHABLE, Duration.ZERO, "cannot open: " + cause.getMessage()));
         }
@@ -181,11 +181,11 @@
 
     /** Whether a txn is at one of these members, or on its way there. */
     boolean busy(Predicate<String> uids) {
-        return byId.values().stream().filter(p -> uids.test(p.uid)).anyMatch(p -> p.links.stream().anyMatch(l ->
+        return byId.values().stream().filter(p -> uids.test(p.uid)).anyMatch(p -> p.connections.stream().anyMatch(l ->
             l.errand() != null && !l.errand().probe()));
     }
 
-    /** Asks a member what it is, beside what the module asks; the answer goes to {@link Results#sighted}. */
+    /** Asks a member what it is, beside what the module asks; the answer goes to {@connection Results#sighted}. */
     void ask(String uid) {
         Place p = byUid.get(uid);
         if (p != null) {
@@ -207,9 +207,9 @@
     }
 
     private boolean closeOldestIdle() {
-        MemberLink oldest = null;
+        MemberConnection oldest = null;
         for (Place p : byId.values()) {
-            MemberLink first = p.idle.peekFirst();
+            MemberConnection first = p.idle.peekFirst();
             if (first != null && (oldest == null || first.idleSince().compareTo(oldest.idleSince()) < 0)) {
                 oldest = first;
             }
@@ -224,14 +224,14 @@
     @Override
     public void callOff(String txn, int submission) {
         for (Place p : byId.values()) {
-            for (MemberLink link : p.links) {
-                Errand e = link.errand();
+            for (MemberConnection connection : p.connections) {
+                Errand e = connection.errand();
                 if (e != null && txn.equals(e.txn()) && e.submission() == submission) {
                     // Its end is an input to the module, which is in the middle of its decisions: told a task later.
-                    link.toBeCalledOff();
+                    connection.toBeCalledOff();
                     loop.run(() -> {
-                        if (link.errand() == e) {
-                            link.callOff();
+                        if (connection.errand() == e) {
+                            connection.callOff();
                         }
                     });
                     return;
@@ -241,8 +241,8 @@
     }
 
     /** It rests for one to two beats: counted, not read from a clock, since the whole process may stand still. */
-    void rests(MemberLink link) {
-        restingNew.add(link);
+    void rests(MemberConnection connection) {
+        restingNew.add(connection);
         if (!beating) {
             beating = true;
             loop.after(REST, this::beat);
@@ -250,14 +250,14 @@
     }
 
     private void beat() {
-        List<MemberLink> rested = resting;
+        List<MemberConnection> rested = resting;
         resting = restingNew;
         restingNew = new ArrayList<>();
         beating = !resting.isEmpty();
         if (beating) {
             loop.after(REST, this::beat);
         }
-        rested.forEach(MemberLink::hasRested);
+        rested.forEach(MemberConnection::hasRested);
     }
 
     void fault(Throwable bug) {
@@ -300,7 +300,7 @@
     int connections() {
         int n = 0;
         for (Place p : byId.values()) {
-            n += p.links.size();
+            n += p.connections.size();
         }
         return n;
     }
--- a/src/main/java/wingroad/fleet/LoopNet.java
+++ b/src/main/java/wingroad/fleet/LoopNet.java
@@ -7,7 +7,7 @@
 import java.util.function.Supplier;
 import wingroad.protocol.Json;
 import wingroad.transport.Door;
-import wingroad.transport.Link;
+import wingroad.transport.Connection;
 import wingroad.transport.Loop;
 
 /** Letters over TCP: each as its length in four bytes and its CBOR. */
@@ -30,7 +30,7 @@
     public Wire open(String address, Owner owner) {
         Line line = new Line(owner);
         try {
-            line.link = Link.open(loop, address(address), line, LONGEST + 4);
+            line.link = Connection.open(loop, address(address), line, LONGEST + 4);
         } catch (IOException | RuntimeException e) {
             loop.run(() -> line.ended(0, false, "cannot open: " + e.getMessage()));
         }
@@ -50,9 +50,9 @@
         return door;
     }
 
-    private static final class Line implements Wire, Link.Owner {
+    private static final class Line implements Wire, Connection.Owner {
         private final Owner owner;
-        private Link link;
+        private Connection link;
         private long handedOver;
         private boolean over;
 
--- a/src/main/java/wingroad/transport/Connection.java
+++ b/src/main/java/wingroad/transport/Connection.java
@@ -13,7 +13,7 @@
  * One connection. It has one buffer for what comes in, which grows as it needs up to a bound and is compacted in
  * place, and a queue for what goes out. All calls and all of the owner's calls are on the loop's thread.
  */
-public final class Link {
+public final class Connection {
     private static final int FIRST_SIZE = 1024;
     /**
      * Read ahead in any case for an owner that does not take it yet. The other side's end stands behind all that it has
@@ -76,7 +76,7 @@
     private boolean orderly;
     private boolean told;
 
-    private Link(Loop loop, AsynchronousSocketChannel channel, Owner owner, int bound) {
+    private Connection(Loop loop, AsynchronousSocketChannel channel, Owner owner, int bound) {
         this.loop = loop;
         this.channel = channel;
         this.owner = owner;
@@ -99,13 +99,13 @@
     }
 
     /** Takes over an accepted channel; reading begins with {@link #begin}. */
-    static Link accepted(Loop loop, AsynchronousSocketChannel channel, Owner owner, int bound) {
-        return new Link(loop, channel, owner, bound);
+    static Connection accepted(Loop loop, AsynchronousSocketChannel channel, Owner owner, int bound) {
+        return new Connection(loop, channel, owner, bound);
     }
 
     /** Opens a connection; the owner hears {@code up} or {@code ended} later, never within this call. */
-    public static Link open(Loop loop, InetSocketAddress to, Owner owner, int bound) throws IOException {
-        Link link = new Link(loop, AsynchronousSocketChannel.open(loop.group), owner, bound);
+    public static Connection open(Loop loop, InetSocketAddress to, Owner owner, int bound) throws IOException {
+        Connection link = new Connection(loop, AsynchronousSocketChannel.open(loop.group), owner, bound);
         link.connect(to);
         return link;
     }
@@ -116,7 +116,7 @@
             channel.connect(to, null, new CompletionHandler<Void, Void>() {
                 @Override
                 public void completed(Void nothing, Void n) {
-                    loop.run(Link.this::connected);
+                    loop.run(Connection.this::connected);
                 }
 
                 @Override
--- a/src/main/java/wingroad/transport/Door.java
+++ b/src/main/java/wingroad/transport/Door.java
@@ -18,7 +18,7 @@
     private final Loop loop;
     private final AsynchronousServerSocketChannel channel;
     private final BooleanSupplier room;
-    private final Consumer<Function<Link.Owner, Link>> guest;
+    private final Consumer<Function<Connection.Owner, Connection>> guest;
     private final int bound;
     private boolean accepting;
     private boolean closed;
@@ -29,7 +29,7 @@
      * @param guest gets each accepted connection, as a function from its owner to its link
      */
     public Door(Loop loop, InetSocketAddress at, int bound, BooleanSupplier room,
-                Consumer<Function<Link.Owner, Link>> guest) throws IOException {
+                Consumer<Function<Connection.Owner, Connection>> guest) throws IOException {
         this.loop = loop;
         this.bound = bound;
         this.room = room;
@@ -66,7 +66,7 @@
                 loop.run(() -> {
                     accepting = false;
                     refusals = 0;
-                    guest.accept(owner -> Link.accepted(loop, guestChannel, owner, bound));
+                    guest.accept(owner -> Connection.accepted(loop, guestChannel, owner, bound));
                     again();
                 });
             }
--- a/src/test/java/wingroad/fleet/FleetIT.java
+++ b/src/test/java/wingroad/fleet/FleetIT.java
@@ -446,7 +446,7 @@
         start(4, 3);
         FencedMember.Entry e = first("a");
         Rig.Driver owner = runner(e);
-        Relays.Link link = rig.relays.between(owner.name, "m1");
+        Relays.Connection link = rig.relays.between(owner.name, "m1");
         BlockingQueue<Object> held = new LinkedBlockingQueue<>();
         link.tap((l, way, bytes, connection) -> way == Relays.Way.FORTH && text(bytes).contains("fenced_a") && held.isEmpty()
             && held.add(connection));
--- a/src/test/java/wingroad/rig/Relays.java
+++ b/src/test/java/wingroad/rig/Relays.java
@@ -32,12 +32,12 @@
 
     /** Sees what goes by, on the relays' thread; true holds this connection's way from these bytes on. */
     public interface Tap {
-        boolean sees(Link link, Way way, ByteBuffer bytes, Object connection);
+        boolean sees(Connection link, Way way, ByteBuffer bytes, Object connection);
     }
 
     private final Selector selector = Selector.open();
     private final ConcurrentLinkedQueue<Runnable> tasks = new ConcurrentLinkedQueue<>();
-    private final Map<String, Link> links = new LinkedHashMap<>();
+    private final Map<String, Connection> links = new LinkedHashMap<>();
     private final Thread thread = new Thread(this::run, "relays");
     private volatile boolean closed;
 
@@ -47,7 +47,7 @@
     }
 
     /** One link: whoever connects to its port reaches its target. */
-    public final class Link {
+    public final class Connection {
         public final String from;
         public final String to;
         private final ServerSocketChannel door = ServerSocketChannel.open();
@@ -58,7 +58,7 @@
         private long delayNanos;
         private final List<Pair> pairs = new ArrayList<>();
 
-        private Link(String from, String to) throws IOException {
+        private Connection(String from, String to) throws IOException {
             this.from = from;
             this.to = to;
             door.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
@@ -84,8 +84,8 @@
     }
 
     /** Makes a link; its target comes later. */
-    public Link link(String from, String to) throws IOException {
-        Link l = new Link(from, to);
+    public Connection link(String from, String to) throws IOException {
+        Connection l = new Connection(from, to);
         links.put(from + ">" + to, l);
         sync(() -> {
             try {
@@ -97,16 +97,16 @@
         return l;
     }
 
-    public Link between(String from, String to) {
+    public Connection between(String from, String to) {
         return links.get(from + ">" + to);
     }
 
-    public List<Link> all() {
+    public List<Connection> all() {
         return List.copyOf(links.values());
     }
 
     /** Holds what goes this way, or lets it go on, on what is connected and on what will be. */
-    public void hold(Link l, Way way, boolean held) {
+    public void hold(Connection l, Way way, boolean held) {
         sync(() -> {
             if (way == Way.FORTH) {
                 l.heldForth = held;
@@ -121,12 +121,12 @@
     }
 
     /** All that goes over the link takes this much longer. */
-    public void slow(Link l, long ms) {
+    public void slow(Connection l, long ms) {
         sync(() -> l.delayNanos = ms * 1_000_000);
     }
 
     /** Ends what is connected now, in the middle of what is held where something is. */
-    public void breakOff(Link l) {
+    public void breakOff(Connection l) {
         sync(() -> List.copyOf(l.pairs).forEach(p -> {
             for (Turn t : List.of(p.forth, p.back)) {
                 t.held = false;
@@ -163,13 +163,13 @@
     }
 
     private final class Pair {
-        final Link link;
+        final Connection link;
         final SocketChannel near;
         final SocketChannel far;
         final Turn forth;
         final Turn back;
 
-        Pair(Link link, SocketChannel near) throws IOException {
+        Pair(Connection link, SocketChannel near) throws IOException {
             this.link = link;
             this.near = near;
             far = SocketChannel.open();
@@ -316,7 +316,7 @@
                     }
                 }
                 selector.selectedKeys().clear();
-                for (Link l : links()) {
+                for (Connection l : links()) {
                     if (l.delayNanos > 0 || !l.pairs.isEmpty()) {
                         for (Pair p : List.copyOf(l.pairs)) {
                             late(p.forth);
@@ -336,10 +336,10 @@
         }
     }
 
-    private List<Link> links() {
-        List<Link> all = new ArrayList<>();
+    private List<Connection> links() {
+        List<Connection> all = new ArrayList<>();
         for (SelectionKey k : selector.keys()) {
-            if (k.attachment() instanceof Link l) {
+            if (k.attachment() instanceof Connection l) {
                 all.add(l);
             }
         }
@@ -347,7 +347,7 @@
     }
 
     private void ready(SelectionKey k) {
-        if (k.attachment() instanceof Link l) {
+        if (k.attachment() instanceof Connection l) {
             try {
                 SocketChannel near = l.door.accept();
                 if (near != null) {
@@ -387,7 +387,7 @@
     public void close() throws IOException {
         closed = true;
         selector.wakeup();
-        for (Link l : links.values()) {
+        for (Connection l : links.values()) {
             l.door.close();
         }
     }
--- a/src/test/java/wingroad/rig/Rig.java
+++ b/src/test/java/wingroad/rig/Rig.java
@@ -63,7 +63,7 @@
     /** A member is out of reach for all, or can be reached again. */
     public void reachable(FencedMember m, boolean can) throws IOException {
         for (Driver d : drivers.values()) {
-            Relays.Link l = relays.between(d.name, m.uid);
+            Relays.Connection l = relays.between(d.name, m.uid);
             l.leadTo(can ? m.port() : 0);
             if (!can) {
                 relays.breakOff(l);
@@ -199,7 +199,7 @@
                     }
                     if (line.contains("listens at ")) {
                         int at = Integer.parseInt(line.replaceAll(".*listens at [^ ]*:([0-9]+).*", "$1"));
-                        for (Relays.Link l : relays.all()) {
+                        for (Relays.Connection l : relays.all()) {
                             if (l.to.equals(name)) {
                                 l.leadTo(at);
                             }
@@ -335,7 +335,7 @@
 
     /** Cuts a driver off from the voters and the voters from it, or heals that. */
     public void cutFromCouncil(String driver, boolean cut) {
-        for (Relays.Link l : relays.all()) {
+        for (Relays.Connection l : relays.all()) {
             if (!l.from.equals(l.to) && (l.from.equals(driver) && voters.contains(l.to) || l.to.equals(driver))) {
                 relays.hold(l, Relays.Way.FORTH, cut);
                 relays.hold(l, Relays.Way.BACK, cut);
@@ -345,7 +345,7 @@
 
     /** Holds one way only: what the driver sends to the voters, or what they send to it. */
     public void cutOneWay(String driver, boolean sends, boolean cut) {
-        for (Relays.Link l : relays.all()) {
+        for (Relays.Connection l : relays.all()) {
             if (l.from.equals(l.to)) {
                 // A process's way to itself crosses no network.
                 continue;
--- a/src/test/java/wingroad/transport/ConnectionTest.java
+++ b/src/test/java/wingroad/transport/ConnectionTest.java
@@ -14,13 +14,13 @@
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
 
-class LinkTest {
+class ConnectionTest {
     private final Set<String> threads = ConcurrentHashMap.newKeySet();
     private final BlockingQueue<String> heard = new LinkedBlockingQueue<>();
 
     /** An owner that sends these bytes and takes what comes in pieces of five. */
-    private Link.Owner owner(Link[] link, byte[] first) {
-        return new Link.Owner() {
+    private Connection.Owner owner(Connection[] link, byte[] first) {
+        return new Connection.Owner() {
             @Override
             public void up() {
                 link[0].send(ByteBuffer.wrap(first));
@@ -64,10 +64,10 @@
 
     private Loop open(ServerSocket to, byte[] first, int bound, long mostHeld) throws Exception {
         Loop loop = new Loop(10, mostHeld, bug -> heard.add("bug " + bug));
-        Link[] link = new Link[1];
+        Connection[] link = new Connection[1];
         loop.run(() -> {
             try {
-                link[0] = Link.open(loop, (InetSocketAddress) to.getLocalSocketAddress(), owner(link, first), bound);
+                link[0] = Connection.open(loop, (InetSocketAddress) to.getLocalSocketAddress(), owner(link, first), bound);
             } catch (java.io.IOException e) {
                 heard.add("bug " + e);
             }
