Names: event loop, listener, counters and warm-up by their usual names

transport.Loop is EventLoop, transport.Door Listener (wingroad.door keeps its name: fair queues), Tally Counters, Rehearsal WarmUp; fields follow. The command 'rehearse' stays.

--- a/src/main/java/wingroad/driver/ChoreDesk.java
+++ b/src/main/java/wingroad/driver/ChoreDesk.java
@@ -10,7 +10,7 @@
 import wingroad.fleet.Runner;
 import wingroad.protocol.Statement;
 import wingroad.state.TxnType;
-import wingroad.transport.Loop;
+import wingroad.transport.EventLoop;
 
 /**
  * Where chores become txns: of a type of their own, once-only and worth less than any client's, with the lease's end for
@@ -22,13 +22,13 @@
     /** A statement that can't end before its lease has so little left is not begun. */
     private static final Duration LEAST = Duration.ofMillis(20);
 
-    private final Loop loop;
+    private final EventLoop loop;
     private final Exchange exchange;
     private final int type;
     private final Duration expiry;
     private volatile Consumer<Runnable> answers;
 
-    ChoreDesk(Loop loop, Exchange exchange, Map<String, Object> terms) {
+    ChoreDesk(EventLoop loop, Exchange exchange, Map<String, Object> terms) {
         this.loop = loop;
         this.exchange = exchange;
         TxnType[] types = TxnType.all(terms);
--- a/src/main/java/wingroad/driver/Clients.java
+++ b/src/main/java/wingroad/driver/Clients.java
@@ -16,8 +16,8 @@
 import wingroad.door.HouseRules;
 import wingroad.protocol.ClientInput;
 import wingroad.protocol.Statement;
-import wingroad.transport.Door;
-import wingroad.transport.Loop;
+import wingroad.transport.EventLoop;
+import wingroad.transport.Listener;
 
 /** The client side: who is connected, and which txn types there are. */
 final class Clients {
@@ -30,9 +30,9 @@
     /** Where there is no room left, one that came without a word right behind has to make it after so long. */
     private static final Duration WORD_WITHIN = Duration.ofMillis(50);
 
-    private final Loop loop;
+    private final EventLoop loop;
     private final Exchange exchange;
-    private final Tally tally;
+    private final Counters counters;
     private final List<String> types;
     private final boolean[] updates;
     private final boolean[] ownWrites;
@@ -45,18 +45,18 @@
     private final Map<String, Duration> ids = new HashMap<>();
     /** Where tenants' names are looked for, or null: nobody asks for them. */
     private HouseRules houseRules;
-    private Door door;
+    private Listener listener;
     private int numbers;
     private boolean closing;
     /** All have been told the end, and whoever comes is told at once. */
     private boolean ended;
     private boolean idleMayStay;
 
-    Clients(Loop loop, Exchange exchange, Tally tally, List<String> types, Map<String, Object> terms,
+    Clients(EventLoop loop, Exchange exchange, Counters counters, List<String> types, Map<String, Object> terms,
             IntPredicate groupKnown) {
         this.loop = loop;
         this.exchange = exchange;
-        this.tally = tally;
+        this.counters = counters;
         this.types = types;
         this.groupKnown = groupKnown;
         this.updates = new boolean[types.size()];
@@ -82,7 +82,7 @@
 
     /** The address is taken, but whoever comes waits until {@connection #letIn}. */
     void bind(InetSocketAddress at) throws IOException {
-        door = new Door(loop, at, ClientInput.MOST + 1024, this::room, in -> {
+        listener = new Listener(loop, at, ClientInput.MOST + 1024, this::room, in -> {
             ClientConnection c = new ClientConnection(this, exchange.now(), ++numbers);
             connections.add(c);
             c.begin(in.apply(c));
@@ -94,7 +94,7 @@
     }
 
     void letIn() {
-        door.again();
+        listener.again();
         look();
     }
 
@@ -147,7 +147,7 @@
     }
 
     InetSocketAddress at() throws IOException {
-        return door.at();
+        return listener.at();
     }
 
     /**
@@ -177,14 +177,14 @@
         ClientConnection idle = null;
         for (ClientConnection c : connections) {
             if (c.ofNoUse(now, WORD_WITHIN)) {
-                tally.count("useless client closed for room");
+                counters.count("useless client closed for room");
                 c.close();
                 return true;
             }
             idle = (idle == null || idle.inCommand()) && c.asked() && !c.busy() && !(idle != null && c.inCommand()) ? c : idle;
         }
         if (idle != null) {
-            tally.count("idle client closed for room");
+            counters.count("idle client closed for room");
             idle.close();
         }
         return idle != null;
@@ -212,7 +212,7 @@
     }
 
     void lapsed(String txn, String id) {
-        tally.count("client left");
+        counters.count("client left");
         if (exchange.lapsed(txn)) {
             // It may come again at once, under the same id: nothing of it has reached anybody.
             ids.remove(id);
@@ -223,7 +223,7 @@
         connections.remove(c);
         connections.add(c);
         letGoOfTooMany();
-        door.again();
+        listener.again();
     }
 
     /**
@@ -238,15 +238,15 @@
             longest = longest == null && c.asked() && !c.leaving() && !c.busy() && !c.inCommand() ? c : longest;
         }
         if (longest != null && asked > loop.mostChannels() / CLIENTS_SHARE) {
-            tally.count("idle client let go among many");
+            counters.count("idle client let go among many");
             longest.leave();
         }
     }
 
     void left(ClientConnection c) {
         connections.remove(c);
-        if (door != null) {
-            door.again();
+        if (listener != null) {
+            listener.again();
         }
     }
 
@@ -255,7 +255,7 @@
     }
 
     void count(String what) {
-        tally.count(what);
+        counters.count(what);
     }
 
     boolean closing() {
@@ -286,8 +286,8 @@
     }
 
     /** Lets nobody in any more. */
-    void shutDoor() {
-        door.close();
+    void stopListening() {
+        listener.close();
     }
 
     /**
--- a/src/main/java/wingroad/driver/Tally.java
+++ b/src/main/java/wingroad/driver/Counters.java
@@ -4,7 +4,7 @@
 import java.util.TreeMap;
 
 /** Counts what is too frequent for a line each. */
-final class Tally {
+final class Counters {
     private static final int MOST_KINDS = 100;
 
     private final Map<String, Integer> counts = new TreeMap<>();
--- a/src/main/java/wingroad/driver/Discovery.java
+++ b/src/main/java/wingroad/driver/Discovery.java
@@ -9,7 +9,7 @@
 import wingroad.protocol.HttpReply;
 import wingroad.protocol.MemberList;
 import wingroad.transport.Connection;
-import wingroad.transport.Loop;
+import wingroad.transport.EventLoop;
 
 /**
  * Asks discovery for the member list: a watch that goes on, and the whole list once. Where lists are pushed, an agent of the
@@ -29,9 +29,9 @@
     /** Half of the time within which a watch must be asked on. */
     private static final Duration PAUSE = Duration.ofMillis(100);
 
-    private final Loop loop;
+    private final EventLoop loop;
     private InetSocketAddress at;
-    private final Tally tally;
+    private final Counters counters;
     private final boolean asked;
     private final Duration wait;
     private final Consumer<MemberList> news;
@@ -40,7 +40,7 @@
     private Call watch;
     private Call fetch;
     /** A watch is to be opened, but not at once; else null. */
-    private Loop.Timer again;
+    private EventLoop.Timer again;
     /** Who waits for the call for the whole list, or null. */
     private Runnable whenFetched;
 
@@ -48,12 +48,12 @@
      * {@code asked}: the list must be asked for. {@code news} gets each list that comes; {@code failed} hears of each call
      * that gave none and is not made again from here.
      */
-    Discovery(Loop loop, InetSocketAddress at, long version, Tally tally, boolean asked, Consumer<MemberList> news,
+    Discovery(EventLoop loop, InetSocketAddress at, long version, Counters counters, boolean asked, Consumer<MemberList> news,
               Runnable failed) {
         this.loop = loop;
         this.at = at;
         this.version = version;
-        this.tally = tally;
+        this.counters = counters;
         this.asked = asked;
         this.wait = asked ? WAIT_WHERE_SHARED : WAIT_OF_AGENT;
         this.news = news;
@@ -147,7 +147,7 @@
         private final boolean watches;
         private Connection connection;
         private HttpReply reply = new HttpReply();
-        private Loop.Timer timer;
+        private EventLoop.Timer timer;
         private long askedAt;
         private boolean over;
         /** It has given a list on this connection. */
@@ -256,7 +256,7 @@
 
         /** No answer at all: whoever is there is asked anew at once, since a call that stands costs nothing. */
         private void silent() {
-            tally.count("discovery silent");
+            counters.count("discovery silent");
             end();
             if (watches) {
                 follow();
@@ -268,7 +268,7 @@
 
         private void lost(String how) {
             if (!over) {
-                tally.count("discovery " + how);
+                counters.count("discovery " + how);
                 end();
                 if (watches && (proven || !asked)) {
                     // The connection is worn out, not discovery: what it holds counts as told, so ask at once.
--- a/src/main/java/wingroad/driver/Driver.java
+++ b/src/main/java/wingroad/driver/Driver.java
@@ -26,7 +26,7 @@
 import wingroad.routing.TxnRouter;
 import wingroad.state.TxnType;
 import wingroad.terms.Terms;
-import wingroad.transport.Loop;
+import wingroad.transport.EventLoop;
 
 /** The program on sockets: puts its parts together, and takes them down when it is told to stop. */
 public final class Driver {
@@ -45,7 +45,7 @@
     private static final Duration STEP = Duration.ofMillis(5);
 
     private final Clock clock = new Clock();
-    private final Tally tally = new Tally();
+    private final Counters counters = new Counters();
     private final Set<Integer> groups = new HashSet<>();
     private final CountDownLatch done = new CountDownLatch(1);
     private final Log log;
@@ -63,7 +63,7 @@
     private final List<String> kinds;
     /** The list comes only when the module asks for it. */
     private final boolean asked;
-    private final Loop loop;
+    private final EventLoop loop;
     private final Exchange exchange;
     private final Members members;
     private final Clients clients;
@@ -91,15 +91,15 @@
         asked = "ask".equals(terms.get("member-list"));
         // The rest is for what the program itself holds open: its archive, its polling, its log.
         // A quarter of the heap may be in flight, an eighth of all memory at most: a statement is copied on its way.
-        loop = new Loop(c.descriptors() - Math.min(24, c.descriptors() / 4),
+        loop = new EventLoop(c.descriptors() - Math.min(24, c.descriptors() / 4),
             Math.min(c.memory() / 8, Runtime.getRuntime().maxMemory() / 4), log::fault);
         Router router = new TxnRouter(operator == null || operator.fleet() == null ? terms
             : ChoreDesk.withType(terms), c.seed(), log::line);
         exchange = new Exchange(loop, clock, router, (Duration) terms.get("connect-time-out"), log::fault);
-        clients = new Clients(loop, exchange, tally, c.names("grades"), terms,
+        clients = new Clients(loop, exchange, counters, c.names("grades"), terms,
             g -> groups.isEmpty() || groups.contains(g));
-        members = new Members(loop, clock, tally, terms, exchange);
-        discovery = new Discovery(loop, c.discovery(), c.known().version(), tally, asked, this::found,
+        members = new Members(loop, clock, counters, terms, exchange);
+        discovery = new Discovery(loop, c.discovery(), c.known().version(), counters, asked, this::found,
             () -> exchange.router().listFailed(clock.now()));
         exchange.meet(members, discovery, clients::closeOneIdle);
         work = operator == null || operator.fleet() == null || operator.fleet().work() == null ? null
@@ -166,7 +166,7 @@
         try {
             Configuration c = Configuration.read(env);
             CountDownLatch over = new CountDownLatch(1);
-            Rehearsal.play(new Loop(1, Runtime.getRuntime().maxMemory(), Throwable::printStackTrace), c.names("grades"),
+            WarmUp.play(new EventLoop(1, Runtime.getRuntime().maxMemory(), Throwable::printStackTrace), c.names("grades"),
                 Terms.of(c.settings()), over::countDown);
             over.await();
             return 0;
@@ -192,7 +192,7 @@
                 });
             }
         });
-        Rehearsal.play(loop, configuration.names("grades"), Terms.of(configuration.settings()), () -> {
+        WarmUp.play(loop, configuration.names("grades"), Terms.of(configuration.settings()), () -> {
             rehearsed = true;
             serveOnceReady(begun);
         });
@@ -348,7 +348,7 @@
     }
 
     private void report() {
-        String counted = tally.take();
+        String counted = counters.take();
         if (counted != null) {
             log.line("counted " + counted + "; clients " + clients.connections() + ", members "
                 + members.connections() + ", open " + exchange.openTxns());
@@ -394,7 +394,7 @@
         Duration now = clock.now();
         boolean shut = now.minus(stoppedAt).compareTo(STILL_COMING) >= 0;
         if (shut) {
-            clients.shutDoor();
+            clients.stopListening();
         }
         boolean late = now.compareTo(leavesBy.minus(PARTING)) > 0;
         if (!parting && shut && clients.closing() && exchange.openTxns() == 0 && (clients.idle() || late)) {
--- a/src/main/java/wingroad/driver/Exchange.java
+++ b/src/main/java/wingroad/driver/Exchange.java
@@ -16,7 +16,7 @@
 import wingroad.routing.Router;
 import wingroad.state.Member;
 import wingroad.state.Submission;
-import wingroad.transport.Loop;
+import wingroad.transport.EventLoop;
 
 /**
  * Where the client side, the member side and discovery meet, with the module between them. It says to the module
@@ -108,7 +108,7 @@
         }
     }
 
-    private final Loop loop;
+    private final EventLoop loop;
     private final Clock clock;
     private final Router router;
     private final Duration probeWait;
@@ -126,9 +126,9 @@
     private Duration endBy;
     private boolean pullAsked;
     private Duration wakeAt;
-    private Loop.Timer wake;
+    private EventLoop.Timer wake;
 
-    Exchange(Loop loop, Clock clock, Router router, Duration probeWait, Consumer<Throwable> onBug) {
+    Exchange(EventLoop loop, Clock clock, Router router, Duration probeWait, Consumer<Throwable> onBug) {
         this.loop = loop;
         this.clock = clock;
         this.router = router;
--- a/src/main/java/wingroad/driver/FleetPart.java
+++ b/src/main/java/wingroad/driver/FleetPart.java
@@ -6,7 +6,7 @@
 import wingroad.fleet.FleetRules;
 import wingroad.protocol.MemberList;
 import wingroad.terms.Terms;
-import wingroad.transport.Loop;
+import wingroad.transport.EventLoop;
 
 /** The driver's part in a fleet: its duties' desks, on the loop's thread. A driver without a fleet loads no class of it. */
 final class FleetPart {
@@ -24,7 +24,7 @@
      *
      * @param follows whether discovery's changes are followed; where the list is asked for, each driver asks for itself
      */
-    static FleetPart begin(FleetRules rules, Loop loop, Clock clock, Exchange exchange, Discovery discovery,
+    static FleetPart begin(FleetRules rules, EventLoop loop, Clock clock, Exchange exchange, Discovery discovery,
                            Configuration configuration, boolean follows, Consumer<MemberList> learn, WorkDesk work, Log log) throws IOException {
         ListDesk lists = rules.listCheck() == null || !follows ? null
             : new ListDesk(loop, clock, discovery, rules, discovery.holds(), learn, log::line);
--- a/src/main/java/wingroad/driver/ListDesk.java
+++ b/src/main/java/wingroad/driver/ListDesk.java
@@ -11,14 +11,14 @@
 import wingroad.protocol.Json;
 import wingroad.protocol.MemberList;
 import wingroad.protocol.MemberList.Entry;
-import wingroad.transport.Loop;
+import wingroad.transport.EventLoop;
 
 /**
  * Discovery asked by one driver for all: hands on what the owner finds, takes what is handed on, and follows discovery itself
  * whenever {@link Hearsay} does not go by the owner. On the loop's thread, but for {@link #letter}.
  */
 final class ListDesk {
-    private final Loop loop;
+    private final EventLoop loop;
     private final Clock clock;
     private final Discovery discovery;
     private final Consumer<MemberList> learn;
@@ -29,7 +29,7 @@
     private long version;
     private boolean goesBy;
 
-    ListDesk(Loop loop, Clock clock, Discovery discovery, FleetRules rules, long known, Consumer<MemberList> learn,
+    ListDesk(EventLoop loop, Clock clock, Discovery discovery, FleetRules rules, long known, Consumer<MemberList> learn,
              Consumer<String> log) {
         this.loop = loop;
         this.clock = clock;
--- a/src/main/java/wingroad/driver/MemberConnection.java
+++ b/src/main/java/wingroad/driver/MemberConnection.java
@@ -9,7 +9,7 @@
 import wingroad.protocol.MemberOutput;
 import wingroad.state.Submission.End;
 import wingroad.transport.Connection;
-import wingroad.transport.Loop;
+import wingroad.transport.EventLoop;
 
 /** One connection to a member. It carries one errand at a time; whatever is in doubt closes it. */
 final class MemberConnection implements Connection.Owner {
@@ -18,7 +18,7 @@
     private final Members side;
     private final Members.Place place;
     private final InetSocketAddress to;
-    private final Loop loop;
+    private final EventLoop loop;
     private final MemberInput input = new MemberInput();
     private Connection connection;
     private Stage stage = Stage.CONNECTING;
@@ -29,11 +29,11 @@
     private boolean written;
     /** Its errand is not wanted any more; that is told in a moment. */
     private boolean calledOff;
-    private Loop.Timer startTimer;
-    private Loop.Timer errandTimer;
-    private Loop.Timer idleTimer;
+    private EventLoop.Timer startTimer;
+    private EventLoop.Timer errandTimer;
+    private EventLoop.Timer idleTimer;
 
-    private MemberConnection(Members side, Members.Place place, InetSocketAddress to, Loop loop) {
+    private MemberConnection(Members side, Members.Place place, InetSocketAddress to, EventLoop loop) {
         this.side = side;
         this.place = place;
         this.to = to;
@@ -41,7 +41,7 @@
     }
 
     /** Opens one for an errand, which waits until the member has let it in. */
-    static MemberConnection open(Members side, Members.Place place, InetSocketAddress to, Loop loop, Duration wait,
+    static MemberConnection open(Members side, Members.Place place, InetSocketAddress to, EventLoop loop, Duration wait,
                            Errand first) throws IOException {
         MemberConnection m = new MemberConnection(side, place, to, loop);
         m.connection = Connection.open(loop, to, m, MemberInput.MOST + 1024);
@@ -278,7 +278,7 @@
     private void shut() {
         stage = Stage.CLOSED;
         errand = null;
-        for (Loop.Timer t : new Loop.Timer[] {startTimer, errandTimer, idleTimer}) {
+        for (EventLoop.Timer t : new EventLoop.Timer[] {startTimer, errandTimer, idleTimer}) {
             if (t != null) {
                 t.cancel();
             }
--- a/src/main/java/wingroad/driver/Members.java
+++ b/src/main/java/wingroad/driver/Members.java
@@ -19,7 +19,7 @@
 import wingroad.driver.Exchange.Errand;
 import wingroad.protocol.MemberList;
 import wingroad.state.Submission.End;
-import wingroad.transport.Loop;
+import wingroad.transport.EventLoop;
 
 /** The member side: who the members are, where they are, and the connections to them. */
 final class Members implements Exchange.Carrier {
@@ -33,9 +33,9 @@
     /** Stands in an errand for a submission's number where it is a probe for the plan of work. */
     private static final int SIGHT = -2;
 
-    private final Loop loop;
+    private final EventLoop loop;
     private final Clock clock;
-    private final Tally tally;
+    private final Counters counters;
     private final Results results;
     private final Duration connectTime;
     private final Duration idleTime;
@@ -95,10 +95,10 @@
         }
     }
 
-    Members(Loop loop, Clock clock, Tally tally, Map<String, Object> terms, Results results) {
+    Members(EventLoop loop, Clock clock, Counters counters, Map<String, Object> terms, Results results) {
         this.loop = loop;
         this.clock = clock;
-        this.tally = tally;
+        this.counters = counters;
         this.results = results;
         this.connectTime = (Duration) terms.get("connect-time-out");
         // Closed from here a connecting time before the member may: no request crosses its closing. Where that is most of
@@ -215,7 +215,7 @@
             }
         }
         if (oldest != null) {
-            tally.count("idle member closed for room");
+            counters.count("idle member closed for room");
             oldest.close();
         }
         return oldest != null;
@@ -274,7 +274,7 @@
         } else if (e.probe()) {
             results.probed(e.member(), a.asked != null, took, a.asked != null ? a.asked : a.told.report());
         } else {
-            tally.count(a.end.name());
+            counters.count(a.end.name());
             results.ended(e, a.end, took, a.told, a.row);
         }
     }
@@ -283,11 +283,11 @@
         if (e.probe() && e.submission() == SIGHT) {
             results.sighted(e.member(), false, null);
         } else if (e.probe()) {
-            tally.count("probe " + how);
+            counters.count("probe " + how);
             results.probed(e.member(), false, took, null);
         } else {
-            tally.count(end.name());
-            tally.count(how);
+            counters.count(end.name());
+            counters.count(how);
             results.ended(e, end, took, Exchange.Told.NOTHING, null);
         }
     }
--- a/src/main/java/wingroad/driver/Rehearsal.java
+++ b/src/main/java/wingroad/driver/WarmUp.java
@@ -13,14 +13,14 @@
 import wingroad.protocol.Statement;
 import wingroad.routing.TxnRouter;
 import wingroad.state.Submission.End;
-import wingroad.transport.Loop;
+import wingroad.transport.EventLoop;
 
 /**
  * Plays made-up txns through parsers, exchange and a module of its own before anybody is let in: without it the first
  * clients after a start meet code that is still interpreted, and take several times the CPU of later ones. It knows no
  * sockets, and nothing of it is left.
  */
-final class Rehearsal {
+final class WarmUp {
     /** By then what every txn runs through has been compiled; more of it gained nothing. */
     private static final int TXNS = 2000;
     /** Whatever the machine, a start is not held up for longer. */
@@ -28,7 +28,7 @@
     private static final int AT_ONCE = 8;
     private static final int MEMBERS = 3;
 
-    private final Loop loop;
+    private final EventLoop loop;
     private final Clock clock = new Clock();
     private final List<String> types;
     private final Map<String, Object> terms;
@@ -41,12 +41,12 @@
     private boolean over;
 
     /** Plays on the loop's thread, as does {@code then}, which is run once it is over. */
-    static void play(Loop loop, List<String> types, Map<String, Object> terms, Runnable then) {
-        Rehearsal r = new Rehearsal(loop, types, terms, then);
+    static void play(EventLoop loop, List<String> types, Map<String, Object> terms, Runnable then) {
+        WarmUp r = new WarmUp(loop, types, terms, then);
         loop.run(r::begin);
     }
 
-    private Rehearsal(Loop loop, List<String> types, Map<String, Object> terms, Runnable then) {
+    private WarmUp(EventLoop loop, List<String> types, Map<String, Object> terms, Runnable then) {
         this.loop = loop;
         this.types = types;
         this.terms = terms;
--- a/src/main/java/wingroad/driver/WorkDesk.java
+++ b/src/main/java/wingroad/driver/WorkDesk.java
@@ -18,7 +18,7 @@
 import wingroad.protocol.MemberList.Entry;
 import wingroad.state.Member;
 import wingroad.state.TxnType;
-import wingroad.transport.Loop;
+import wingroad.transport.EventLoop;
 import wingroad.work.Conductor;
 import wingroad.work.Machine;
 import wingroad.work.Picture;
@@ -37,7 +37,7 @@
     /** What is seen of members counts for a lease; within it the conductor asks this often. */
     private static final int ASKS = 3;
 
-    private final Loop loop;
+    private final EventLoop loop;
     private final Clock clock;
     private final WorkRules rules;
     private final Collection<String> voters;
@@ -69,7 +69,7 @@
     private long harmed;
     private boolean wasCurrent;
 
-    WorkDesk(Loop loop, Clock clock, FleetRules fleet, TxnType[] types, Members members, Consumer<MemberList> learn,
+    WorkDesk(EventLoop loop, Clock clock, FleetRules fleet, TxnType[] types, Members members, Consumer<MemberList> learn,
              Consumer<String> log) {
         this.loop = loop;
         this.clock = clock;
--- a/src/main/java/wingroad/fleet/Fleet.java
+++ b/src/main/java/wingroad/fleet/Fleet.java
@@ -9,8 +9,8 @@
 import java.util.function.Supplier;
 import wingroad.duty.Op;
 import wingroad.duty.Tenure;
-import wingroad.transport.Door;
-import wingroad.transport.Loop;
+import wingroad.transport.EventLoop;
+import wingroad.transport.Listener;
 import wingroad.work.Conductor;
 import wingroad.work.Report;
 
@@ -29,14 +29,14 @@
     private final Runner runner;
     private final News news;
     private final Worker worker;
-    private final Loop loop;
+    private final EventLoop loop;
     private final LoopNet net;
     private final Here here = new Here();
     private final SecureRandom random = new SecureRandom();
     private final Supplier<String> names = () -> Long.toHexString(random.nextLong());
     private StateFolder folder;
     private Seat seat;
-    private Door door;
+    private Listener door;
     private Attendant attendant;
     private boolean leaving;
     private String failure = "";
@@ -76,7 +76,7 @@
         this.log = log;
         this.runner = runner;
         this.news = news;
-        loop = new Loop("fleet", MOST_CHANNELS, MOST_HELD, bug);
+        loop = new EventLoop("fleet", MOST_CHANNELS, MOST_HELD, bug);
         net = new LoopNet(loop);
     }
 
--- a/src/main/java/wingroad/fleet/LoopNet.java
+++ b/src/main/java/wingroad/fleet/LoopNet.java
@@ -6,18 +6,18 @@
 import java.util.Map;
 import java.util.function.Supplier;
 import wingroad.protocol.Json;
-import wingroad.transport.Door;
 import wingroad.transport.Connection;
-import wingroad.transport.Loop;
+import wingroad.transport.EventLoop;
+import wingroad.transport.Listener;
 
 /** Letters over TCP: each as its length in four bytes and its CBOR. */
 final class LoopNet implements Net {
     private static final int LONGEST = 4 << 20;
     private static final long MOST_UNSENT = 8L << 20;
 
-    private final Loop loop;
+    private final EventLoop loop;
 
-    LoopNet(Loop loop) {
+    LoopNet(EventLoop loop) {
         this.loop = loop;
     }
 
@@ -38,8 +38,8 @@
     }
 
     /** Listens; each guest gets an owner of its own. */
-    Door listen(InetSocketAddress at, Supplier<Owner> owners) throws IOException {
-        Door door = new Door(loop, at, LONGEST + 4, () -> loop.channelsLeft() > 0, guest -> {
+    Listener listen(InetSocketAddress at, Supplier<Owner> owners) throws IOException {
+        Listener door = new Listener(loop, at, LONGEST + 4, () -> loop.channelsLeft() > 0, guest -> {
             Owner owner = owners.get();
             Line line = new Line(owner);
             line.link = guest.apply(line);
--- a/src/main/java/wingroad/transport/Connection.java
+++ b/src/main/java/wingroad/transport/Connection.java
@@ -52,7 +52,7 @@
         void ended(int unwritten, boolean orderly, String how);
     }
 
-    private final Loop loop;
+    private final EventLoop loop;
     private final AsynchronousSocketChannel channel;
     private final Owner owner;
     private final int bound;
@@ -76,7 +76,7 @@
     private boolean orderly;
     private boolean told;
 
-    private Connection(Loop loop, AsynchronousSocketChannel channel, Owner owner, int bound) {
+    private Connection(EventLoop loop, AsynchronousSocketChannel channel, Owner owner, int bound) {
         this.loop = loop;
         this.channel = channel;
         this.owner = owner;
@@ -99,12 +99,12 @@
     }
 
     /** Takes over an accepted channel; reading begins with {@link #begin}. */
-    static Connection accepted(Loop loop, AsynchronousSocketChannel channel, Owner owner, int bound) {
+    static Connection accepted(EventLoop loop, AsynchronousSocketChannel channel, Owner owner, int bound) {
         return new Connection(loop, channel, owner, bound);
     }
 
     /** Opens a connection; the owner hears {@code up} or {@code ended} later, never within this call. */
-    public static Connection open(Loop loop, InetSocketAddress to, Owner owner, int bound) throws IOException {
+    public static Connection open(EventLoop loop, InetSocketAddress to, Owner owner, int bound) throws IOException {
         Connection link = new Connection(loop, AsynchronousSocketChannel.open(loop.group), owner, bound);
         link.connect(to);
         return link;
--- a/src/main/java/wingroad/transport/Loop.java
+++ b/src/main/java/wingroad/transport/EventLoop.java
@@ -12,7 +12,7 @@
  * The one thread that owns the module and all connections. Tasks, timers and the channels' completion handlers
  * run on it, in the order in which they came. It also counts the descriptors that its channels hold.
  */
-public final class Loop {
+public final class EventLoop {
     private final ScheduledThreadPoolExecutor thread;
     private final Consumer<Throwable> onBug;
     private final int mostChannels;
@@ -26,12 +26,12 @@
      * @param mostHeld     how many bytes all connections may hold that came in or wait to go out
      * @param onBug        hears of what escapes a task
      */
-    public Loop(int mostChannels, long mostHeld, Consumer<Throwable> onBug) throws IOException {
+    public EventLoop(int mostChannels, long mostHeld, Consumer<Throwable> onBug) throws IOException {
         this("wingroad", mostChannels, mostHeld, onBug);
     }
 
     /** The same with the thread's name, for a part that has a thread of its own. */
-    public Loop(String name, int mostChannels, long mostHeld, Consumer<Throwable> onBug) throws IOException {
+    public EventLoop(String name, int mostChannels, long mostHeld, Consumer<Throwable> onBug) throws IOException {
         thread = new ScheduledThreadPoolExecutor(1, r -> new Thread(r, name));
         this.mostChannels = mostChannels;
         this.mostHeld = mostHeld;
--- a/src/main/java/wingroad/transport/Door.java
+++ b/src/main/java/wingroad/transport/Listener.java
@@ -12,10 +12,10 @@
 import java.util.function.Function;
 
 /** The listening socket. One accept is out at a time, and only while the guest list has room. */
-public final class Door {
+public final class Listener {
     private static final int BACKLOG = 1024;
 
-    private final Loop loop;
+    private final EventLoop loop;
     private final AsynchronousServerSocketChannel channel;
     private final BooleanSupplier room;
     private final Consumer<Function<Connection.Owner, Connection>> guest;
@@ -28,7 +28,7 @@
      * @param room  asked before each accept; when it says no, {@link #again} goes on later
      * @param guest gets each accepted connection, as a function from its owner to its link
      */
-    public Door(Loop loop, InetSocketAddress at, int bound, BooleanSupplier room,
+    public Listener(EventLoop loop, InetSocketAddress at, int bound, BooleanSupplier room,
                 Consumer<Function<Connection.Owner, Connection>> guest) throws IOException {
         this.loop = loop;
         this.bound = bound;
@@ -77,7 +77,7 @@
                     accepting = false;
                     refusals++;
                     // Guards against spinning where the system has no descriptor left: a longer wait each time.
-                    loop.after(Duration.ofMillis(1L << Math.min(refusals, 8)), Door.this::again);
+                    loop.after(Duration.ofMillis(1L << Math.min(refusals, 8)), Listener.this::again);
                 });
             }
         });
--- a/src/test/java/wingroad/driver/ClientsTest.java
+++ b/src/test/java/wingroad/driver/ClientsTest.java
@@ -24,7 +24,7 @@
 import wingroad.routing.TxnRouter;
 import wingroad.state.Member.Role;
 import wingroad.state.Submission.End;
-import wingroad.transport.Loop;
+import wingroad.transport.EventLoop;
 
 /** Clients that leave, send, and are told the end, at moments that the test chooses; the members are the test's own. */
 class ClientsTest {
@@ -32,12 +32,12 @@
 
     private final BlockingQueue<Exchange.Errand> carried = new LinkedBlockingQueue<>();
     private final BlockingQueue<Throwable> bugs = new LinkedBlockingQueue<>();
-    private final Loop loop = new Loop(200, 1 << 24, bugs::add);
+    private final EventLoop loop = new EventLoop(200, 1 << 24, bugs::add);
     private final Clock clock = new Clock();
     private final Given given = new Given();
     private final TxnRouter router = new TxnRouter(given.terms, 1, line -> { });
     private final Exchange exchange = new Exchange(loop, clock, router, Duration.ofMillis(250), bugs::add);
-    private final Clients clients = new Clients(loop, exchange, new Tally(), List.of("look", "change"), given.terms, g -> true);
+    private final Clients clients = new Clients(loop, exchange, new Counters(), List.of("look", "change"), given.terms, g -> true);
     private int port;
 
     ClientsTest() throws IOException {
--- a/src/test/java/wingroad/driver/DiscoveryTest.java
+++ b/src/test/java/wingroad/driver/DiscoveryTest.java
@@ -17,20 +17,20 @@
 import org.junit.jupiter.params.provider.ValueSource;
 import wingroad.protocol.MemberList;
 import wingroad.rig.Peer;
-import wingroad.transport.Loop;
+import wingroad.transport.EventLoop;
 
 /** The list's watch, with answers, ends and silence put between any two of its lines. */
 class DiscoveryTest {
     private static final String HEAD = "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n";
 
     private final BlockingQueue<Object> heard = new LinkedBlockingQueue<>();
-    private final Loop loop = loop();
+    private final EventLoop loop = loop();
     private final Peer.Listener agent = listener();
     private final Discovery discovery = discovery(false);
 
-    private static Loop loop() {
+    private static EventLoop loop() {
         try {
-            return new Loop(100, 1 << 24, bug -> {
+            return new EventLoop(100, 1 << 24, bug -> {
                 throw new AssertionError(bug);
             });
         } catch (IOException e) {
@@ -47,7 +47,7 @@
     }
 
     private Discovery discovery(boolean asked) {
-        return new Discovery(loop, at(agent), 5, new Tally(), asked, heard::add, () -> heard.add("failed"));
+        return new Discovery(loop, at(agent), 5, new Counters(), asked, heard::add, () -> heard.add("failed"));
     }
 
     private static InetSocketAddress at(Peer.Listener l) {
@@ -135,7 +135,7 @@
     /** Nobody is there: asked again and again, but not in a loop without a pause. */
     @Test
     void anAgentThatRefusesIsAskedAgainAtAPace() throws Exception {
-        Tally tally = new Tally();
+        Counters tally = new Counters();
         int nobody;
         try (Peer.Listener gone = new Peer.Listener()) {
             nobody = gone.port();
--- a/src/test/java/wingroad/driver/MembersTest.java
+++ b/src/test/java/wingroad/driver/MembersTest.java
@@ -26,7 +26,7 @@
 import wingroad.protocol.Statement;
 import wingroad.rig.Peer;
 import wingroad.state.Submission.End;
-import wingroad.transport.Loop;
+import wingroad.transport.EventLoop;
 
 /** How each way in which a member can answer, or not answer, ends a submission. */
 class MembersTest {
@@ -34,7 +34,7 @@
     private static final Duration LONG = Duration.ofSeconds(15);
 
     private final BlockingQueue<Ended> ends = new LinkedBlockingQueue<>();
-    private final Loop loop = loop(900);
+    private final EventLoop loop = loop(900);
     private final Clock clock = new Clock();
     private Members members = members(CONNECT);
     private int submissions;
@@ -45,9 +45,9 @@
     private record Ended(End end, Exchange.Told told, byte[] row) {
     }
 
-    private static Loop loop(int most) {
+    private static EventLoop loop(int most) {
         try {
-            return new Loop(most, 1 << 24, bug -> {
+            return new EventLoop(most, 1 << 24, bug -> {
                 throw new AssertionError(bug);
             });
         } catch (IOException e) {
@@ -60,7 +60,7 @@
     }
 
     private Members members(Duration connectTime, Duration idleTime) {
-        return new Members(loop, clock, new Tally(), Map.of("connect-time-out", connectTime, "idle-time", idleTime), new Results() {
+        return new Members(loop, clock, new Counters(), Map.of("connect-time-out", connectTime, "idle-time", idleTime), new Results() {
             @Override
             public void sighted(long member, boolean answered, Exchange.Report report) {
                 // nobody plans work here
--- a/src/test/java/wingroad/transport/ConnectionTest.java
+++ b/src/test/java/wingroad/transport/ConnectionTest.java
@@ -58,12 +58,12 @@
         return heard.poll(20, TimeUnit.SECONDS);
     }
 
-    private Loop open(ServerSocket to, byte[] first) throws Exception {
+    private EventLoop open(ServerSocket to, byte[] first) throws Exception {
         return open(to, first, 64, 1 << 20);
     }
 
-    private Loop open(ServerSocket to, byte[] first, int bound, long mostHeld) throws Exception {
-        Loop loop = new Loop(10, mostHeld, bug -> heard.add("bug " + bug));
+    private EventLoop open(ServerSocket to, byte[] first, int bound, long mostHeld) throws Exception {
+        EventLoop loop = new EventLoop(10, mostHeld, bug -> heard.add("bug " + bug));
         Connection[] link = new Connection[1];
         loop.run(() -> {
             try {
@@ -107,7 +107,7 @@
     @Test
     void moreThanTheBufferHoldsComesThroughInOrder() throws Exception {
         try (ServerSocket door = new ServerSocket(0, 5, InetAddress.getLoopbackAddress())) {
-            Loop loop = open(door, new byte[1]);
+            EventLoop loop = open(door, new byte[1]);
             Socket s = door.accept();
             assertThat(next()).isEqualTo("written");
             StringBuilder all = new StringBuilder();
