--- a/src/test/java/wingroad/driver/ClientsTest.java
+++ b/src/test/java/wingroad/driver/ClientsTest.java
@@ -192,6 +192,26 @@
         until(() -> clients.connections() == 0);
     }
 
+    /** Open as the others are let go, with more behind it: all of it is answered, in order, and then it is told the end. */
+    @Test
+    void oneWithAnOpenTxnAndMoreSentAheadIsAnsweredBeforeItIsToldTheEnd() throws Exception {
+        primaryFound();
+        Peer c = client();
+        c.send(ask(write("w")), ask(read("r")), ask(""));
+        Exchange.Errand w = carried.poll(20, TimeUnit.SECONDS);
+        loop.run(clients::beginClosing);
+        commit(w);
+        assertThat(c.until("Z\0\0\0\5I")).contains("done");
+        Exchange.Errand r = carried.poll(20, TimeUnit.SECONDS);
+        assertThat(r.statement().id()).isEqualTo("r");
+        commit(r);
+        assertThat(c.until("Z\0\0\0\5I")).contains("done");
+        assertThat(c.until("Z\0\0\0\5I")).startsWith("I");
+        assertThat(c.rest()).isEmpty();
+        c.close();
+        until(() -> clients.connections() == 0);
+    }
+
     /** A statement that comes in the moment of the end is not sent on, and its client sees an end and no break. */
     @Test
     void whatComesBehindTheEndIsReadAndThrownAway() throws Exception {
