--- a/src/main/java/wingroad/routing/TxnRouter.java
+++ b/src/main/java/wingroad/routing/TxnRouter.java
@@ -1003,7 +1003,7 @@
             Load load = sentToKind.get(m.kind);
             if (load.countedAt == null || now.minus(load.countedAt).compareTo(time("fall")) > 0) {
                 load.countedAt = now;
-                // Each counts whole: by their warm parts, many that start at once would each get the share of few.
+                // Each counts whole: by warm parts, many that start at once would each get the share of few.
                 load.members = members.values().stream().filter(o -> o.listed && o.kind == m.kind).count();
             }
             rate = Math.max(calm / ms(cold), warm * number("fall-multiple") * 0.6
