Names: a driver's side of its session is SessionLease, no longer Tenure

A rename alone: the type, its fields and its accessors; the log lines said lease already. Unit tests of the package and the fleet in virtual time green.

--- a/src/main/java/wingroad/duty/Tenure.java
+++ b/src/main/java/wingroad/duty/SessionLease.java
@@ -12,7 +12,7 @@
  * A driver's own side of its session: how long its lease runs, on its own clock from before each beat was sent, and which
  * duties it holds meanwhile. It may act only while {@link #mayAct} says so, asked with a clock read just before.
  */
-public class Tenure {
+public class SessionLease {
     /** Beats that were sent and not yet settled; more than these are not waited for. */
     private static final int MOST_OUT = 64;
 
@@ -32,7 +32,7 @@
     private boolean open;
     private boolean over;
 
-    public Tenure(Lease lease, String session) {
+    public SessionLease(Lease lease, String session) {
         this.lease = lease;
         this.session = session;
     }
--- a/src/main/java/wingroad/fleet/Attendant.java
+++ b/src/main/java/wingroad/fleet/Attendant.java
@@ -10,7 +10,7 @@
 import java.util.function.Supplier;
 import wingroad.duty.Fence;
 import wingroad.duty.Op;
-import wingroad.duty.Tenure;
+import wingroad.duty.SessionLease;
 import wingroad.fleet.Net.Wire;
 import wingroad.protocol.Json;
 import wingroad.work.Report;
@@ -44,14 +44,14 @@
     private final FleetRules rules;
     private final String identity;
     private final Supplier<String> runs;
-    private final Function<String, Tenure> tenures;
+    private final Function<String, SessionLease> sessionLeases;
     private final Fleet.News news;
     private final Fence fence = new Fence();
     private final Map<String, String> addresses = new LinkedHashMap<>();
     private final List<String> order = new ArrayList<>();
     private final Map<String, Op> asks = new LinkedHashMap<>();
     private Doer doer;
-    private Tenure tenure;
+    private SessionLease sessionLease;
     private Wire wire;
     private boolean up;
     /**
@@ -81,24 +81,24 @@
     /**
      * @param identity of the state folder
      * @param runs     gives a new session's part behind the driver's name
-     * @param tenures  makes the driver's side of a session
+     * @param sessionLeases makes the driver's side of a session
      * @param news     hears what owners hand on, past the fence
      */
     Attendant(Host host, Net net, FleetRules rules, String identity, Supplier<String> runs,
-              Function<String, Tenure> tenures, Fleet.News news) {
+              Function<String, SessionLease> sessionLeases, Fleet.News news) {
         this.host = host;
         this.net = net;
         this.rules = rules;
         this.identity = identity;
         this.runs = runs;
-        this.tenures = tenures;
+        this.sessionLeases = sessionLeases;
         this.news = news;
         addresses.putAll(rules.voters());
         order.addAll(addresses.keySet());
         // Its own seat first; else spread over the voters by name.
         order.sort(Comparator.<String>comparingInt(v -> v.equals(rules.driver()) ? 0 : 1)
             .thenComparing(v -> (v + '/' + rules.driver()).hashCode()));
-        tenure = tenures.apply(rules.driver() + "/" + runs.get());
+        sessionLease = sessionLeases.apply(rules.driver() + "/" + runs.get());
     }
 
     void work(Worker with) {
@@ -119,22 +119,22 @@
         if (greeted && opened && report != null) {
             // At rest, with no machine asked for, it is heard often enough by far less.
             reportIn = report.busy().isEmpty() && ++reports > REPORTS ? REST_BEATS : REPORT_BEATS;
-            wire.send(Words.letter("report", "line", report.line(tenure.session())));
+            wire.send(Words.letter("report", "line", report.line(sessionLease.session())));
         }
     }
 
     /** An order of the conductor's, if this driver conducts under this epoch now. */
     void order(long epoch, Function<String, Op> op) {
-        if (tenure.mayAct(WorkRules.CONDUCTOR, epoch, host.now())) {
-            send(op.apply(tenure.session()));
+        if (sessionLease.mayAct(WorkRules.CONDUCTOR, epoch, host.now())) {
+            send(op.apply(sessionLease.session()));
         }
     }
 
     private void tellWorker() {
         if (worker != null) {
-            Tenure.Held h = tenure.known(WorkRules.CONDUCTOR);
-            boolean conducts = h != null && tenure.mayAct(h.duty(), h.epoch(), host.now());
-            worker.lease(tenure.until(), !tenure.isOpen(), conducts ? h.epoch() : 0);
+            SessionLease.Held h = sessionLease.known(WorkRules.CONDUCTOR);
+            boolean conducts = h != null && sessionLease.mayAct(h.duty(), h.epoch(), host.now());
+            worker.lease(sessionLease.until(), !sessionLease.isOpen(), conducts ? h.epoch() : 0);
         }
     }
 
@@ -144,8 +144,8 @@
         beat();
     }
 
-    Tenure tenure() {
-        return tenure;
+    SessionLease sessionLease() {
+        return sessionLease;
     }
 
     /** Asks for this until it is withdrawn; at most one ask by a name. */
@@ -163,7 +163,7 @@
     void leave(Runnable then) {
         leaving = true;
         left = then;
-        tenure.ended();
+        sessionLease.ended();
         tellWorker();
         asks.clear();
         leaveAgain(0);
@@ -180,7 +180,7 @@
         if (tries > 0 && tries % LEAVE_TRIES == 0) {
             next();
         } else {
-            send(Op.leave(tenure.session()));
+            send(Op.leave(sessionLease.session()));
         }
         host.after(LEAVE_AGAIN, () -> leaveAgain(tries + 1));
     }
@@ -192,8 +192,8 @@
 
     /** Hands something on, if the duty is this driver's at this time. */
     void publish(String duty, Map<String, Object> what) {
-        Tenure.Held h = tenure.known(duty);
-        if (greeted && h != null && tenure.mayAct(duty, h.epoch(), host.now())) {
+        SessionLease.Held h = sessionLease.known(duty);
+        if (greeted && h != null && sessionLease.mayAct(duty, h.epoch(), host.now())) {
             wire.send(Words.letter("publish", "duty", duty, "epoch", h.epoch(), "what", what));
         }
     }
@@ -232,12 +232,12 @@
     /** All that is to be settled, once more. */
     private void askAll() {
         if (greeted && leaving) {
-            send(Op.leave(tenure.session()));
+            send(Op.leave(sessionLease.session()));
         } else if (greeted) {
             if (!opened) {
-                send(Op.open(tenure.session(), identity, rules.duties()));
+                send(Op.open(sessionLease.session(), identity, rules.duties()));
             }
-            wire.send(Words.letter("beat", "n", tenure.beat(host.now())));
+            wire.send(Words.letter("beat", "n", sessionLease.beat(host.now())));
             asks.values().forEach(this::send);
             if (--reportIn <= 0) {
                 sendReport();
@@ -246,23 +246,23 @@
     }
 
     private void tellLease(Duration now) {
-        boolean has = tenure.isOpen() && now.compareTo(tenure.until()) < 0;
+        boolean has = sessionLease.isOpen() && now.compareTo(sessionLease.until()) < 0;
         if (has != hadLease) {
             hadLease = has;
-            host.log(has ? "fleet: lease of " + tenure.session() + " runs, by " + order.get(at)
-                : "fleet: lease of " + tenure.session() + " has run out; its duties stand still here");
+            host.log(has ? "fleet: lease of " + sessionLease.session() + " runs, by " + order.get(at)
+                : "fleet: lease of " + sessionLease.session() + " has run out; its duties stand still here");
         }
     }
 
     /** What is asked back is given up as soon as nothing of it runs. */
     private void giveBack() {
-        for (Tenure.Held h : tenure.askedBack()) {
+        for (SessionLease.Held h : sessionLease.askedBack()) {
             if (!doer.busy(h.duty())) {
-                ask("give " + h.duty(), Op.giveUp(tenure.session(), h.duty(), h.epoch()));
+                ask("give " + h.duty(), Op.giveUp(sessionLease.session(), h.duty(), h.epoch()));
             }
         }
         asks.keySet().removeIf(n -> n.startsWith("give ")
-            && tenure.askedBack().stream().noneMatch(h -> n.equals("give " + h.duty())));
+            && sessionLease.askedBack().stream().noneMatch(h -> n.equals("give " + h.duty())));
     }
 
     private void next() {
@@ -310,7 +310,7 @@
     }
 
     private String run() {
-        return tenure.session().substring(tenure.session().indexOf('/') + 1);
+        return sessionLease.session().substring(sessionLease.session().indexOf('/') + 1);
     }
 
     @Override
@@ -367,7 +367,7 @@
         for (Object o : Json.list(m, "duties")) {
             List<?> d = (List<?>) o;
             fence.raise((String) d.get(0), ((Number) d.get(2)).longValue());
-            tenure.told(new Tenure.Held((String) d.get(0), (String) d.get(1), ((Number) d.get(2)).longValue(),
+            sessionLease.told(new SessionLease.Held((String) d.get(0), (String) d.get(1), ((Number) d.get(2)).longValue(),
                 ((Number) d.get(3)).longValue(), (String) d.get(4), (String) d.get(5)));
         }
         boolean open = Boolean.TRUE.equals(m.get("open"));
@@ -379,8 +379,8 @@
             }
             opened = true;
             refusal = "";
-            tenure.opened();
-            tenure.settled(Words.number(m, "beat"), host.now());
+            sessionLease.opened();
+            sessionLease.settled(Words.number(m, "beat"), host.now());
         } else if (leaving) {
             if (left != null) {
                 left.run();
@@ -398,17 +398,17 @@
 
     /** The council has ended the session: another one is opened, and nothing is done under the old one. */
     private void begin() {
-        Tenure old = tenure;
+        SessionLease old = sessionLease;
         old.ended();
         tellWorker();
         asks.clear();
         opened = false;
-        tenure = tenures.apply(rules.driver() + "/" + runs.get());
-        old.known().forEach(tenure::told);
-        host.log("fleet: the council has ended " + old.session() + "; opens " + tenure.session());
+        sessionLease = sessionLeases.apply(rules.driver() + "/" + runs.get());
+        old.known().forEach(sessionLease::told);
+        host.log("fleet: the council has ended " + old.session() + "; opens " + sessionLease.session());
         if (greeted) {
             wire.send(Words.letter("again", "run", run()));
-            send(Op.open(tenure.session(), identity, rules.duties()));
+            send(Op.open(sessionLease.session(), identity, rules.duties()));
         }
     }
 
--- a/src/main/java/wingroad/fleet/Chores.java
+++ b/src/main/java/wingroad/fleet/Chores.java
@@ -4,7 +4,7 @@
 import java.util.LinkedHashMap;
 import java.util.Map;
 import wingroad.duty.Op;
-import wingroad.duty.Tenure;
+import wingroad.duty.SessionLease;
 import wingroad.duty.Turns;
 import wingroad.fleet.FleetRules.Chore;
 
@@ -53,33 +53,33 @@
 
     @Override
     public void look() {
-        Tenure tenure = attendant.tenure();
+        SessionLease sessionLease = attendant.sessionLease();
         courses.forEach((duty, c) -> {
-            Tenure.Held h = tenure.known(duty);
+            SessionLease.Held h = sessionLease.known(duty);
             if (h != null) {
-                look(c, h, tenure);
+                look(c, h, sessionLease);
             }
         });
     }
 
-    private void look(Course c, Tenure.Held h, Tenure tenure) {
+    private void look(Course c, SessionLease.Held h, SessionLease sessionLease) {
         Duration now = host.now();
         long missed = c.turns.heard(h.turn(), now);
         if (missed > 0) {
             host.log("fleet: " + h.duty() + ": " + missed + " turns missed before turn " + h.turn());
         }
         String told = "told " + h.duty();
-        if (!h.outcome().isEmpty() || !h.owner().equals(tenure.session())) {
+        if (!h.outcome().isEmpty() || !h.owner().equals(sessionLease.session())) {
             attendant.withdraw(told);
         }
-        if (!tenure.mayAct(h.duty(), h.epoch(), now)) {
+        if (!sessionLease.mayAct(h.duty(), h.epoch(), now)) {
             attendant.withdraw("turn " + h.duty());
             c.asked = 0;
             return;
         }
         if (c.asked > 0 && c.askedEpoch == h.epoch() && h.turn() == c.asked && c.begun < c.asked) {
             attendant.withdraw("turn " + h.duty());
-            begin(c, h, tenure);
+            begin(c, h, sessionLease);
         }
         if (!c.waits) {
             // Else the next turn would wait for a beat.
@@ -93,16 +93,16 @@
         if (due > 0 && !c.running && due != c.asked) {
             c.asked = due;
             c.askedEpoch = h.epoch();
-            attendant.ask("turn " + h.duty(), Op.turn(tenure.session(), h.duty(), h.epoch(), due));
+            attendant.ask("turn " + h.duty(), Op.turn(sessionLease.session(), h.duty(), h.epoch(), due));
         }
     }
 
-    private void begin(Course c, Tenure.Held h, Tenure tenure) {
+    private void begin(Course c, SessionLease.Held h, SessionLease sessionLease) {
         c.begun = c.asked;
         c.running = true;
         long turn = c.asked;
-        String session = tenure.session();
-        runner.run(c.chore, h.epoch(), turn, tenure.until(), outcome -> {
+        String session = sessionLease.session();
+        runner.run(c.chore, h.epoch(), turn, sessionLease.until(), outcome -> {
             c.running = false;
             host.log("fleet: " + h.duty() + " turn " + turn + " epoch " + h.epoch() + ": " + outcome);
             attendant.ask("told " + h.duty(), Op.told(session, h.duty(), h.epoch(), turn, outcome));
--- a/src/main/java/wingroad/fleet/Fleet.java
+++ b/src/main/java/wingroad/fleet/Fleet.java
@@ -8,7 +8,7 @@
 import java.util.function.Consumer;
 import java.util.function.Supplier;
 import wingroad.duty.Op;
-import wingroad.duty.Tenure;
+import wingroad.duty.SessionLease;
 import wingroad.transport.EventLoop;
 import wingroad.transport.Listener;
 import wingroad.work.Conductor;
@@ -149,7 +149,7 @@
                 seat.start();
                 watch();
             }
-            attendant = new Attendant(here, net, rules, identity, names, s -> new Tenure(rules.lease(), s),
+            attendant = new Attendant(here, net, rules, identity, names, s -> new SessionLease(rules.lease(), s),
                 news);
             attendant.work(worker);
             attendant.start(new Chores(here, rules, attendant, runner));
--- a/src/test/java/wingroad/duty/RegisterTest.java
+++ b/src/test/java/wingroad/duty/RegisterTest.java
@@ -142,15 +142,15 @@
 
     @Test
     void aLeaseRunsFromBeforeItWasAskedFor() {
-        Tenure t = new Tenure(LEASE, "a/1");
+        SessionLease t = new SessionLease(LEASE, "a/1");
         long beat = t.beat(Duration.ofSeconds(10));
         t.opened();
-        t.told(new Tenure.Held("x", "a/1", 5, 0, "", ""));
+        t.told(new SessionLease.Held("x", "a/1", 5, 0, "", ""));
         t.settled(beat, Duration.ofSeconds(13));
         assertThat(t.mayAct("x", 5, Duration.ofMillis(13_999))).isTrue();
         assertThat(t.mayAct("x", 5, Duration.ofSeconds(14))).isFalse();
         assertThat(t.mayAct("x", 4, Duration.ofSeconds(13))).as("an older epoch").isFalse();
-        t.told(new Tenure.Held("x", "a/1", 5, 0, "", "*"));
+        t.told(new SessionLease.Held("x", "a/1", 5, 0, "", "*"));
         assertThat(t.mayAct("x", 5, Duration.ofSeconds(13))).as("asked back").isFalse();
     }
 
--- a/src/test/java/wingroad/fleet/SimFleet.java
+++ b/src/test/java/wingroad/fleet/SimFleet.java
@@ -21,7 +21,7 @@
 import java.util.function.Function;
 import wingroad.duty.Fence;
 import wingroad.duty.Lease;
-import wingroad.duty.Tenure;
+import wingroad.duty.SessionLease;
 
 /**
  * A fleet in virtual time: the program's own code on played clocks, links and disks, with faults drawn from a seed, and a
@@ -153,9 +153,9 @@
                 seat.start();
                 after(Duration.ofSeconds(2), this::watch);
             }
-            Function<String, Tenure> tenures = wrong == Wrong.LEASE_FROM_ANSWER ? s -> new FromAnswer(rules.lease(), s)
-                : s -> new Tenure(rules.lease(), s);
-            attendant = new Attendant(this, net, rules, identity, () -> Long.toHexString(random.nextLong()), tenures,
+            Function<String, SessionLease> sessionLeases = wrong == Wrong.LEASE_FROM_ANSWER ? s -> new FromAnswer(rules.lease(), s)
+                : s -> new SessionLease(rules.lease(), s);
+            attendant = new Attendant(this, net, rules, identity, () -> Long.toHexString(random.nextLong()), sessionLeases,
                 (epoch, what) -> { });
             work = new Chores(this, rules, attendant, this::effect);
             if (SimFleet.this.work != null) {
@@ -316,7 +316,7 @@
     }
 
     /** A lease counted from when the answer came: wrong. */
-    private static final class FromAnswer extends Tenure {
+    private static final class FromAnswer extends SessionLease {
         FromAnswer(Lease lease, String session) {
             super(lease, session);
         }
@@ -581,8 +581,8 @@
             String one = null;
             for (Proc p : procs.values()) {
                 if (p.alive && p.attendant != null) {
-                    Tenure t = p.attendant.tenure();
-                    Tenure.Held h = t.known(c.duty());
+                    SessionLease t = p.attendant.sessionLease();
+                    SessionLease.Held h = t.known(c.duty());
                     if (h != null && t.mayAct(c.duty(), h.epoch(), p.now())) {
                         if (one != null) {
                             breaks("two may act: " + c.duty() + ": " + one + " and " + p.name + " epoch " + h.epoch());
--- a/src/test/java/wingroad/fleet/SimWork.java
+++ b/src/test/java/wingroad/fleet/SimWork.java
@@ -295,7 +295,7 @@
                             x.why()));
                         if (random.nextInt(4) == 0) {
                             // As one that is held up on its way, or wakes up late and does not look at its lease again.
-                            String session = proc.attendant.tenure().session();
+                            String session = proc.attendant.sessionLease().session();
                             fleet.at(fleet.now + random.nextInt(8_000) * 1_000_000L, () -> late(Op.workStep(session, mine, x.machine(),
                                 x.to(), x.stageAt(), x.why())));
                         }
