--- a/src/main/java/wingroad/fleet/Keep.java
+++ b/src/main/java/wingroad/fleet/ConsensusStore.java
@@ -25,7 +25,7 @@
  * A voter's state: who it is, the council that it belongs to, the engine's term, log and snapshot, and what it has seen the
  * other voters confirm. Each row has a checksum, so that one that was changed is not taken for a vote.
  */
-final class Keep implements RaftStore {
+final class ConsensusStore implements RaftStore {
     private static final long SELF = 0;
     private static final long ENDPOINT = 1;
     private static final long INITIAL = 2;
@@ -44,7 +44,7 @@
         }
     }
 
-    private final Rows rows;
+    private final RowStore rows;
     private final Supplier<String> names;
     private String identity;
     private String group = "";
@@ -58,7 +58,7 @@
     private String wasAside;
 
     /** Reads what is there; where that can't be read it is set aside, and told by {@link #wasAside}. */
-    Keep(Rows rows, Supplier<String> names) throws IOException {
+    ConsensusStore(RowStore rows, Supplier<String> names) throws IOException {
         this.rows = rows;
         this.names = names;
         try {
@@ -69,7 +69,7 @@
     }
 
     private void load() throws IOException {
-        Map<Long, byte[]> meta = rows.all(Rows.Table.META);
+        Map<Long, byte[]> meta = rows.all(RowStore.Table.META);
         if (meta.get(SELF) == null) {
             begin();
             return;
@@ -104,7 +104,7 @@
         RaftTermPersistentState term = Words.MODELS.createRaftTermPersistentStateBuilder()
             .setTerm((int) Words.number(t, "term")).setVotedFor(voted.isEmpty() ? null : Endpoint.of(voted)).build();
         TreeMap<Long, List<SnapshotChunk>> snapshots = new TreeMap<>();
-        for (byte[] row : rows.all(Rows.Table.CHUNKS).values()) {
+        for (byte[] row : rows.all(RowStore.Table.CHUNKS).values()) {
             SnapshotChunk c = Words.chunk(map(row));
             snapshots.computeIfAbsent(c.getIndex(), i -> new ArrayList<>()).add(c);
         }
@@ -120,7 +120,7 @@
                 .setGroupMembersView(first.getGroupMembersView()).build();
         }
         List<LogEntry> entries = new ArrayList<>();
-        for (byte[] row : rows.all(Rows.Table.LOG).tailMap(from + 1).values()) {
+        for (byte[] row : rows.all(RowStore.Table.LOG).tailMap(from + 1).values()) {
             entries.add(Words.entry(map(row)));
         }
         return new RestoredRaftState(local, Words.view(map(meta.get(INITIAL))), term, snapshot, entries);
@@ -145,7 +145,7 @@
         self.put("proposed", proposed);
         self.put("founders", founders);
         self.put("epochs", epochs);
-        put(Rows.Table.META, SELF, self);
+        put(RowStore.Table.META, SELF, self);
         flush();
     }
 
@@ -229,7 +229,7 @@
             voters.clear();
             voters.putAll(changes);
             try {
-                put(Rows.Table.META, VOTERS, new LinkedHashMap<>(voters));
+                put(RowStore.Table.META, VOTERS, new LinkedHashMap<>(voters));
             } catch (IOException e) {
                 // put has noted it
             }
@@ -241,7 +241,7 @@
         Map<String, Object> all = new LinkedHashMap<>();
         seen.forEach((e, s) -> all.put(e, List.of((long) s.term, (long) s.entryTerm, s.index)));
         try {
-            put(Rows.Table.META, WITNESS, all);
+            put(RowStore.Table.META, WITNESS, all);
         } catch (IOException e) {
             // put has noted it
         }
@@ -268,48 +268,48 @@
 
     @Override
     public void persistAndFlushLocalEndpoint(RaftEndpointPersistentState s) throws IOException {
-        put(Rows.Table.META, ENDPOINT, Words.letter("e", "e", s.getLocalEndpoint().getId(), "vote", s.isVoting()));
+        put(RowStore.Table.META, ENDPOINT, Words.letter("e", "e", s.getLocalEndpoint().getId(), "vote", s.isVoting()));
         flush();
     }
 
     @Override
     public void persistAndFlushInitialGroupMembers(RaftGroupMembersView v) throws IOException {
-        put(Rows.Table.META, INITIAL, Words.of(v));
+        put(RowStore.Table.META, INITIAL, Words.of(v));
         flush();
     }
 
     @Override
     public void persistAndFlushTerm(RaftTermPersistentState t) throws IOException {
         RaftEndpoint voted = t.getVotedFor();
-        put(Rows.Table.META, TERM, Words.letter("t", "term", t.getTerm(), "voted", voted == null ? "" : voted.getId()));
+        put(RowStore.Table.META, TERM, Words.letter("t", "term", t.getTerm(), "voted", voted == null ? "" : voted.getId()));
         flush();
     }
 
     @Override
     public void persistLogEntries(List<LogEntry> entries) throws IOException {
         for (LogEntry e : entries) {
-            put(Rows.Table.LOG, e.getIndex(), Words.of(e));
+            put(RowStore.Table.LOG, e.getIndex(), Words.of(e));
         }
     }
 
     @Override
     public void persistSnapshotChunk(SnapshotChunk c) throws IOException {
-        put(Rows.Table.CHUNKS, c.getIndex() << 10 | c.getSnapshotChunkIndex(), Words.of(c));
+        put(RowStore.Table.CHUNKS, c.getIndex() << 10 | c.getSnapshotChunkIndex(), Words.of(c));
     }
 
     @Override
     public void truncateLogEntriesFrom(long index) throws IOException {
-        drop(Rows.Table.LOG, index, Long.MAX_VALUE);
+        drop(RowStore.Table.LOG, index, Long.MAX_VALUE);
     }
 
     @Override
     public void truncateLogEntriesUntil(long index) throws IOException {
-        drop(Rows.Table.LOG, 0, index);
+        drop(RowStore.Table.LOG, 0, index);
     }
 
     @Override
     public void deleteSnapshotChunks(long index, int count) throws IOException {
-        drop(Rows.Table.CHUNKS, index << 10, (index << 10) + count - 1);
+        drop(RowStore.Table.CHUNKS, index << 10, (index << 10) + count - 1);
     }
 
     @Override
@@ -329,7 +329,7 @@
         }
     }
 
-    private void drop(Rows.Table table, long from, long to) throws IOException {
+    private void drop(RowStore.Table table, long from, long to) throws IOException {
         try {
             whole();
             rows.drop(table, from, to);
@@ -339,7 +339,7 @@
         }
     }
 
-    private void put(Rows.Table table, long key, Map<String, Object> value) throws IOException {
+    private void put(RowStore.Table table, long key, Map<String, Object> value) throws IOException {
         byte[] body = Cbor.write(value);
         try {
             whole();
--- a/src/main/java/wingroad/fleet/Fleet.java
+++ b/src/main/java/wingroad/fleet/Fleet.java
@@ -144,7 +144,7 @@
             }
             String identity = folder.identity();
             if (rules.listen() != null) {
-                seat = new Seat(here, net, rules, folder::keep, random.nextLong());
+                seat = new Seat(here, net, rules, folder::store, random.nextLong());
                 door = net.listen(LoopNet.address(rules.listen()), () -> seat.guest());
                 seat.start();
                 watch();
--- a/src/main/java/wingroad/fleet/Rows.java
+++ b/src/main/java/wingroad/fleet/RowStore.java
@@ -4,7 +4,7 @@
 import java.util.SortedMap;
 
 /** Numbered rows in a few tables, durable once flushed, all that was put before one flush together. */
-interface Rows {
+interface RowStore {
     /** The tables. */
     enum Table {
         META, LOG, CHUNKS
--- a/src/main/java/wingroad/fleet/Seat.java
+++ b/src/main/java/wingroad/fleet/Seat.java
@@ -84,7 +84,7 @@
     private final Random random;
     private final Reader reader;
     private final LongFunction<Register> registers;
-    private Keep keep;
+    private ConsensusStore store;
     private Register register = new Register(0);
     private final Overdue overdue;
     private RaftNode node;
@@ -119,18 +119,18 @@
         this.net = net;
         this.rules = rules;
         this.reader = reader;
-        this.keep = reader.read();
+        this.store = reader.read();
         this.random = new Random(seed);
         this.overdue = new Overdue(rules.lease());
         this.strays = rules.work() == null ? null : new Strays(rules.work(), rules.lease().drift());
     }
 
     void start() {
-        if (keep.wasAside() != null) {
-            host.log("fleet: state set aside as " + keep.wasAside() + "; this voter is a newcomer");
+        if (store.wasAside() != null) {
+            host.log("fleet: state set aside as " + store.wasAside() + "; this voter is a newcomer");
         }
-        phase = keep.group().isEmpty() ? Phase.FRESH : Phase.PROVING;
-        knowPeers(keep.voters());
+        phase = store.group().isEmpty() ? Phase.FRESH : Phase.PROVING;
+        knowPeers(store.voters());
         say(phase == Phase.FRESH ? "belongs to no council yet" : "asks the others whether its state is the newest");
         proceed();
         look();
@@ -139,7 +139,7 @@
 
     /** Whether the council is to have this voter, by the file and what was changed since. */
     private boolean votes(String name) {
-        Map<String, String> changes = node == null ? keep.voters() : register.voters();
+        Map<String, String> changes = node == null ? store.voters() : register.voters();
         return changes.containsKey(name) ? !changes.get(name).isEmpty() : rules.voters().containsKey(name);
     }
 
@@ -171,7 +171,7 @@
         peers.values().forEach(Peer::shut);
         List.copyOf(guests).forEach(g -> g.wire.close());
         leaveEngine();
-        keep.close();
+        store.close();
     }
 
     Register register() {
@@ -187,7 +187,7 @@
     }
 
     private Endpoint self() {
-        return new Endpoint(rules.driver() + "/" + keep.identity());
+        return new Endpoint(rules.driver() + "/" + store.identity());
     }
 
     private void say(String what) {
@@ -213,13 +213,13 @@
             }
         }
         proceed();
-        if (phase == Phase.IN && keep.broken() != null) {
+        if (phase == Phase.IN && store.broken() != null) {
             breaks();
         }
         tellLeader();
         if (phase == Phase.IN) {
             knowPeers(register.voters());
-            keep.saveVoters(register.voters());
+            store.saveVoters(register.voters());
             if (node.getStatus() == RaftNodeStatus.TERMINATED) {
                 takenOut();
             }
@@ -228,7 +228,7 @@
             admit();
         }
         missLeader();
-        keep.saveSeen();
+        store.saveSeen();
         host.after(LOOK, this::look);
     }
 
@@ -279,21 +279,21 @@
 
     /** The state can't be written: nothing is confirmed any more. What is on the disk counts once it can be. */
     private void breaks() {
-        say("can't write its state, and votes no more: " + (keep.broken() == null ? "" : keep.broken().getMessage()));
+        say("can't write its state, and votes no more: " + (store.broken() == null ? "" : store.broken().getMessage()));
         leaveEngine();
         phase = Phase.BROKEN;
     }
 
     /** Reads a voter's state. */
     interface Reader {
-        Keep read() throws IOException;
+        ConsensusStore read() throws IOException;
     }
 
     /** The same voter goes on with state that is read again. */
     void resume() throws IOException {
-        keep.close();
-        keep = reader.read();
-        phase = keep.group().isEmpty() ? Phase.FRESH : Phase.PROVING;
+        store.close();
+        store = reader.read();
+        phase = store.group().isEmpty() ? Phase.FRESH : Phase.PROVING;
         say("has read its state again");
         proceed();
     }
@@ -312,8 +312,8 @@
             return;
         }
         for (Peer p : peers.values()) {
-            if (!p.group.isEmpty() && p.group.equals(keep.proposed()) && keep.founders().contains(self().id())) {
-                keep.found(p.group, keep.founders(), keep.epochs());
+            if (!p.group.isEmpty() && p.group.equals(store.proposed()) && store.founders().contains(self().id())) {
+                store.found(p.group, store.founders(), store.epochs());
                 enter();
                 return;
             }
@@ -334,31 +334,31 @@
             }
         }
         members.sort(null);
-        if (!members.equals(keep.founders()) || keep.proposed().isEmpty()) {
+        if (!members.equals(store.founders()) || store.proposed().isEmpty()) {
             founding.clear();
-            keep.propose(Long.toHexString(random.nextLong()), members, host.wall() / 1000 * 1000);
+            store.propose(Long.toHexString(random.nextLong()), members, host.wall() / 1000 * 1000);
         }
         if (founding.containsAll(members.stream().filter(m -> !m.equals(self().id())).toList())) {
-            keep.found(keep.proposed(), keep.founders(), keep.epochs());
-            say("founds council " + keep.group() + " with " + members.size() + " voters, epochs from " + keep.epochs());
+            store.found(store.proposed(), store.founders(), store.epochs());
+            say("founds council " + store.group() + " with " + members.size() + " voters, epochs from " + store.epochs());
             enter();
             return;
         }
-        peers.values().forEach(p -> p.send(Words.letter("found", "group", keep.proposed(), "members", keep.founders(),
-            "epochs", keep.epochs())));
+        peers.values().forEach(p -> p.send(Words.letter("found", "group", store.proposed(), "members", store.founders(),
+            "epochs", store.epochs())));
     }
 
     /** With state: takes part once enough others say that they know of nothing newer from it. */
     private void prove() throws IOException {
         int answers = 0;
         for (Peer p : peers.values()) {
-            if (p.present() && p.group.equals(keep.group())) {
+            if (p.present() && p.group.equals(store.group())) {
                 answers++;
-                if (keep.olderThan(p.seenOfUs)) {
+                if (store.olderThan(p.seenOfUs)) {
                     host.log("fleet: " + p.name + " knows this voter to have confirmed term " + p.seenOfUs.term() + ", entry "
                         + p.seenOfUs.index() + ": the state here is older than it was");
-                    keep.setAside("older than it was");
-                    host.log("fleet: state set aside as " + keep.wasAside());
+                    store.setAside("older than it was");
+                    host.log("fleet: state set aside as " + store.wasAside());
                     phase = Phase.FRESH;
                     // Who it is is said at a connection's begin.
                     peers.values().forEach(Peer::shut);
@@ -373,20 +373,20 @@
 
     private void enter() throws IOException {
         int mine = ++life;
-        register = registers.apply(keep.epochs());
-        RaftNode.RaftNodeBuilder b = RaftNode.newBuilder().setGroupId(keep.group()).setConfig(ENGINE).setRandom(random)
+        register = registers.apply(store.epochs());
+        RaftNode.RaftNodeBuilder b = RaftNode.newBuilder().setGroupId(store.group()).setConfig(ENGINE).setRandom(random)
             .setClock(new EngineClock()).setExecutor(new EngineThread(mine)).setTransport(new EngineMail())
-            .setStateMachine(new Settled(mine)).setStore(keep).setModelFactory(Words.MODELS);
-        RestoredRaftState restored = keep.restored();
+            .setStateMachine(new Settled(mine)).setStore(store).setModelFactory(Words.MODELS);
+        RestoredRaftState restored = store.restored();
         if (restored != null) {
             b.setRestoredState(restored);
         } else {
-            b.setLocalEndpoint(self()).setInitialGroupMembers(Words.endpoints(keep.founders()));
+            b.setLocalEndpoint(self()).setInitialGroupMembers(Words.endpoints(store.founders()));
         }
         node = b.build();
         phase = Phase.IN;
         node.start();
-        say("takes part in council " + keep.group() + (restored == null ? "" : " with its state, term "
+        say("takes part in council " + store.group() + (restored == null ? "" : " with its state, term "
             + restored.getTermPersistentState().getTerm()));
     }
 
@@ -403,8 +403,8 @@
         say("has been taken out of the council");
         leaveEngine();
         try {
-            keep.setAside("taken out of the council");
-            host.log("fleet: state set aside as " + keep.wasAside());
+            store.setAside("taken out of the council");
+            host.log("fleet: state set aside as " + store.wasAside());
             phase = Phase.FRESH;
             peers.values().forEach(Peer::shut);
         } catch (IOException e) {
@@ -437,14 +437,14 @@
             }
             RaftEndpoint old = members.getMembers().stream().filter(e -> ((Endpoint) e).name().equals(p.name)
                 && !e.equals(p.endpoint())).findFirst().orElse(null);
-            if (old != null && (p.group.isEmpty() || p.group.equals(keep.group()))) {
+            if (old != null && (p.group.isEmpty() || p.group.equals(store.group()))) {
                 change(old, MembershipChangeMode.REMOVE_MEMBER, members);
                 return;
             }
             if (!members.getMembers().contains(p.endpoint())) {
                 if (p.group.isEmpty()) {
-                    p.send(Words.letter("let-in", "group", keep.group(), "members", keep.founders(), "epochs", keep.epochs()));
-                } else if (p.group.equals(keep.group())) {
+                    p.send(Words.letter("let-in", "group", store.group(), "members", store.founders(), "epochs", store.epochs()));
+                } else if (p.group.equals(store.group())) {
                     change(p.endpoint(), MembershipChangeMode.ADD_OR_PROMOTE_TO_FOLLOWER, members);
                     return;
                 }
@@ -668,10 +668,10 @@
 
     /** What this voter says of itself to a caller. */
     private Map<String, Object> presence(String kind, String caller) {
-        Keep.Seen s = keep.seen(caller);
+        ConsensusStore.Seen s = store.seen(caller);
         RaftGroupMembers members = node == null ? null : node.getCommittedMembers();
-        return Words.letter(kind, "fleet", rules.name(), "name", rules.driver(), "identity", keep.identity(), "group",
-            keep.group(), "voters", new TreeMap<>(node == null ? keep.voters() : register.voters()), "members", members == null ? List.of() : Words.ids(members.getMembers()),
+        return Words.letter(kind, "fleet", rules.name(), "name", rules.driver(), "identity", store.identity(), "group",
+            store.group(), "voters", new TreeMap<>(node == null ? store.voters() : register.voters()), "members", members == null ? List.of() : Words.ids(members.getMembers()),
             "members-at", members == null ? 0 : members.getLogIndex(), "term", s.term(), "entry-term", s.entryTerm(), "index", s.index(), "lead", node == null
                 || node.getTerm().getLeaderEndpoint() == null ? "" : ((Endpoint) node.getTerm().getLeaderEndpoint()).name());
     }
@@ -684,7 +684,7 @@
         private boolean up;
         private String identity = "";
         private String group = "";
-        private Keep.Seen seenOfUs = new Keep.Seen(0, 0, 0);
+        private ConsensusStore.Seen seenOfUs = new ConsensusStore.Seen(0, 0, 0);
         private Duration heardAt = Duration.ZERO;
         private Duration pingedAt = Duration.ZERO;
         private Duration openAt = Duration.ZERO;
@@ -728,7 +728,7 @@
         public void up(Wire w) {
             up = true;
             w.send(Words.letter("hello", "fleet", rules.name(), "name", rules.driver(), "role", "voter", "identity",
-                keep.identity(), "group", keep.group()));
+                store.identity(), "group", store.group()));
         }
 
         @Override
@@ -738,16 +738,16 @@
                 case "here" -> {
                     identity = Words.text(m, "identity");
                     group = Words.text(m, "group");
-                    seenOfUs = new Keep.Seen((int) Words.number(m, "term"), (int) Words.number(m, "entry-term"),
+                    seenOfUs = new ConsensusStore.Seen((int) Words.number(m, "term"), (int) Words.number(m, "entry-term"),
                         Words.number(m, "index"));
                     refusal = "";
-                    if (group.equals(keep.group()) && node != null) {
+                    if (group.equals(store.group()) && node != null) {
                         hearsOfMembers(Words.texts(m.get("members")), Words.number(m, "members-at"));
                     }
                     proceed();
                 }
                 case "founding" -> {
-                    if (Words.text(m, "group").equals(keep.proposed()) && present()) {
+                    if (Words.text(m, "group").equals(store.proposed()) && present()) {
                         founding.add(endpoint().id());
                         proceed();
                     }
@@ -851,8 +851,8 @@
             String group = Words.text(m, "group");
             if (!Words.text(m, "fleet").equals(rules.name())) {
                 refuse("this is fleet '" + rules.name() + "'");
-            } else if (!group.isEmpty() && !keep.group().isEmpty() && !group.equals(keep.group())) {
-                refuse("this is council " + keep.group() + " of fleet '" + rules.name() + "'");
+            } else if (!group.isEmpty() && !store.group().isEmpty() && !group.equals(store.group())) {
+                refuse("this is council " + store.group() + " of fleet '" + rules.name() + "'");
             } else {
                 role = Words.text(m, "role");
                 endpoint = name + "/" + Words.text(m, "identity");
@@ -871,7 +871,7 @@
                     if (message instanceof AppendEntriesRequest || message instanceof InstallSnapshotRequest) {
                         ledAt = host.now();
                     }
-                    if (node != null && keep.group().equals(message.getGroupId())) {
+                    if (node != null && store.group().equals(message.getGroupId())) {
                         node.handle(message);
                     }
                 }
@@ -887,15 +887,15 @@
                 case "found" -> {
                     List<String> members = Words.texts(m.get("members"));
                     if (phase == Phase.FRESH && members.contains(self().id())) {
-                        if (!Words.text(m, "group").equals(keep.proposed())) {
-                            keep.propose(Words.text(m, "group"), members, Words.number(m, "epochs"));
+                        if (!Words.text(m, "group").equals(store.proposed())) {
+                            store.propose(Words.text(m, "group"), members, Words.number(m, "epochs"));
                         }
-                        wire.send(Words.letter("founding", "group", keep.proposed()));
+                        wire.send(Words.letter("founding", "group", store.proposed()));
                     }
                 }
                 case "let-in" -> {
                     if (phase == Phase.FRESH) {
-                        keep.found(Words.text(m, "group"), Words.texts(m.get("members")), Words.number(m, "epochs"));
+                        store.found(Words.text(m, "group"), Words.texts(m.get("members")), Words.number(m, "epochs"));
                         enter();
                     }
                 }
@@ -921,10 +921,10 @@
             boolean poll = message instanceof PreVoteRequest || message instanceof PreVoteResponse;
             if (sender.equals(endpoint) && !poll) {
                 long index = message instanceof AppendEntriesSuccessResponse r ? r.getLastLogIndex() : 0;
-                Keep.Seen old = keep.seen(sender);
-                Keep.Seen now = old.with(message.getTerm(), index);
+                ConsensusStore.Seen old = store.seen(sender);
+                ConsensusStore.Seen now = old.with(message.getTerm(), index);
                 if (now != old) {
-                    keep.saw(sender, now);
+                    store.saw(sender, now);
                 }
             }
         }
@@ -1053,7 +1053,7 @@
         all.put("fleet", rules.name());
         all.put("voter", rules.driver());
         all.put("phase", phase.name());
-        all.put("council", keep.group());
+        all.put("council", store.group());
         all.put("term", node == null ? 0L : (long) node.getTerm().getTerm());
         RaftEndpoint leader = node == null ? null : node.getTerm().getLeaderEndpoint();
         all.put("leader", leader == null ? "" : ((Endpoint) leader).name());
--- a/src/main/java/wingroad/fleet/SqliteRows.java
+++ b/src/main/java/wingroad/fleet/SqliteRowStore.java
@@ -12,14 +12,14 @@
 import java.util.SortedMap;
 import java.util.TreeMap;
 
-/** Rows in an SQLite file, by its write-ahead log: what was flushed survives the end of the process at any byte. */
-final class SqliteRows implements Rows {
+/** RowStore in an SQLite file, by its write-ahead log: what was flushed survives the end of the process at any byte. */
+final class SqliteRowStore implements RowStore {
     private static final String[] PARTS = {"", "-wal", "-shm"};
 
     private final Path file;
     private Connection db;
 
-    SqliteRows(Path file) throws IOException {
+    SqliteRowStore(Path file) throws IOException {
         this.file = file;
         try {
             open();
--- a/src/main/java/wingroad/fleet/StateFolder.java
+++ b/src/main/java/wingroad/fleet/StateFolder.java
@@ -56,13 +56,13 @@
     }
 
     /** The voter's state; what is no database is set aside under another name. */
-    Keep keep() throws IOException {
+    ConsensusStore store() throws IOException {
         unpackHere();
         Path file = dir.resolve("council.db");
         try {
-            return new Keep(new SqliteRows(file), names);
-        } catch (SqliteRows.Unreadable e) {
-            Keep fresh = new Keep(new SqliteRows(file), names);
+            return new ConsensusStore(new SqliteRowStore(file), names);
+        } catch (SqliteRowStore.Unreadable e) {
+            ConsensusStore fresh = new ConsensusStore(new SqliteRowStore(file), names);
             fresh.tellAside(e.getMessage());
             return fresh;
         }
--- a/src/test/java/wingroad/fleet/KeepTest.java
+++ b/src/test/java/wingroad/fleet/ConsensusStoreTest.java
@@ -12,9 +12,9 @@
 import wingroad.fleet.Words.Endpoint;
 
 /** A voter's state: what it survives, and when it is not trusted. */
-class KeepTest {
-    private static Keep with(Rows rows, int term, long entries) throws IOException {
-        Keep k = new Keep(rows, () -> "i1");
+class ConsensusStoreTest {
+    private static ConsensusStore with(RowStore rows, int term, long entries) throws IOException {
+        ConsensusStore k = new ConsensusStore(rows, () -> "i1");
         k.found("g", List.of("a/i1"), 0);
         k.persistAndFlushLocalEndpoint(Words.MODELS.createRaftEndpointPersistentStateBuilder()
             .setLocalEndpoint(Endpoint.of("a/i1")).setVoting(true).build());
@@ -31,11 +31,11 @@
 
     @Test
     void whatWasFlushedIsThereAfterAKillAndWhatWasNotIsNot() throws IOException {
-        MemoryRows rows = new MemoryRows();
-        Keep k = with(rows, 3, 4);
+        MemoryRowStore rows = new MemoryRowStore();
+        ConsensusStore k = with(rows, 3, 4);
         k.persistLogEntries(List.of(Words.MODELS.createLogEntryBuilder().setIndex(5).setTerm(3).setOperation(Op.term())
             .build()));
-        Keep again = new Keep(rows.afterKill(), () -> "i2");
+        ConsensusStore again = new ConsensusStore(rows.afterKill(), () -> "i2");
         assertThat(again.identity()).isEqualTo("i1");
         assertThat(again.restored().getLogEntries()).hasSize(4);
         assertThat(again.restored().getLogEntries().get(3).getOperation()).isEqualTo(Op.turn("a/1", "x", 5, 4));
@@ -44,24 +44,24 @@
 
     @Test
     void aStateIsOlderWhereATermOrAnEntryOfItIsMissing() throws IOException {
-        MemoryRows rows = new MemoryRows();
+        MemoryRowStore rows = new MemoryRowStore();
         with(rows, 3, 4);
-        Keep k = new Keep(rows.afterKill(), () -> "i2");
-        assertThat(k.olderThan(new Keep.Seen(3, 3, 4))).isFalse();
-        assertThat(k.olderThan(new Keep.Seen(4, 3, 4))).as("a later term").isTrue();
-        assertThat(k.olderThan(new Keep.Seen(3, 3, 5))).as("a later entry").isTrue();
-        assertThat(k.olderThan(new Keep.Seen(3, 2, 9))).as("entries that a later leader cut").isFalse();
+        ConsensusStore k = new ConsensusStore(rows.afterKill(), () -> "i2");
+        assertThat(k.olderThan(new ConsensusStore.Seen(3, 3, 4))).isFalse();
+        assertThat(k.olderThan(new ConsensusStore.Seen(4, 3, 4))).as("a later term").isTrue();
+        assertThat(k.olderThan(new ConsensusStore.Seen(3, 3, 5))).as("a later entry").isTrue();
+        assertThat(k.olderThan(new ConsensusStore.Seen(3, 2, 9))).as("entries that a later leader cut").isFalse();
     }
 
     @Test
     void aRowThatWasChangedIsNotTaken() throws IOException {
-        MemoryRows rows = new MemoryRows();
+        MemoryRowStore rows = new MemoryRowStore();
         with(rows, 3, 4);
-        byte[] row = rows.all(Rows.Table.LOG).get(2L).clone();
+        byte[] row = rows.all(RowStore.Table.LOG).get(2L).clone();
         row[row.length - 1] ^= 1;
-        rows.put(Rows.Table.LOG, 2, row);
+        rows.put(RowStore.Table.LOG, 2, row);
         rows.flush();
-        Keep k = new Keep(rows, () -> "i2");
+        ConsensusStore k = new ConsensusStore(rows, () -> "i2");
         assertThat(k.wasAside()).contains("checksum");
         assertThat(k.identity()).isEqualTo("i2");
         assertThat(k.group()).isEmpty();
@@ -69,8 +69,8 @@
 
     @Test
     void nothingIsConfirmedAfterAWriteThatFailed() throws IOException {
-        MemoryRows rows = new MemoryRows();
-        Keep k = with(rows, 1, 1);
+        MemoryRowStore rows = new MemoryRowStore();
+        ConsensusStore k = with(rows, 1, 1);
         rows.full = true;
         assertThatThrownBy(k::flush).isInstanceOf(IOException.class);
         rows.full = false;
@@ -79,9 +79,9 @@
 
     @Test
     void aFileKeepsTheSame(@TempDir Path dir) throws IOException {
-        SqliteRows rows = new SqliteRows(dir.resolve("council.db"));
+        SqliteRowStore rows = new SqliteRowStore(dir.resolve("council.db"));
         with(rows, 3, 4).close();
-        Keep again = new Keep(new SqliteRows(dir.resolve("council.db")), () -> "i2");
+        ConsensusStore again = new ConsensusStore(new SqliteRowStore(dir.resolve("council.db")), () -> "i2");
         assertThat(again.identity()).isEqualTo("i1");
         assertThat(again.restored().getLogEntries()).hasSize(4);
         again.close();
--- a/src/test/java/wingroad/fleet/MemoryRows.java
+++ b/src/test/java/wingroad/fleet/MemoryRowStore.java
@@ -8,8 +8,8 @@
 import java.util.SortedMap;
 import java.util.TreeMap;
 
-/** Rows of a process that may be killed: what was not flushed is lost. */
-final class MemoryRows implements Rows {
+/** RowStore of a process that may be killed: what was not flushed is lost. */
+final class MemoryRowStore implements RowStore {
     private Map<Table, TreeMap<Long, byte[]>> durable = empty();
     private Map<Table, TreeMap<Long, byte[]>> now = empty();
     private final List<Runnable> pending = new ArrayList<>();
@@ -31,8 +31,8 @@
     }
 
     /** The state as the next process finds it. */
-    MemoryRows afterKill() {
-        MemoryRows next = new MemoryRows();
+    MemoryRowStore afterKill() {
+        MemoryRowStore next = new MemoryRowStore();
         next.durable = copy(durable);
         next.now = copy(durable);
         return next;
--- a/src/test/java/wingroad/fleet/SimFleet.java
+++ b/src/test/java/wingroad/fleet/SimFleet.java
@@ -115,8 +115,8 @@
     /** The process whose state folder this was goes on. */
     final class Proc implements Host {
         final String name;
-        MemoryRows rows = new MemoryRows();
-        MemoryRows backup;
+        MemoryRowStore rows = new MemoryRowStore();
+        MemoryRowStore backup;
         String identity = Long.toHexString(random.nextLong());
         boolean alive;
         boolean paused;
@@ -145,8 +145,8 @@
             seat = null;
             if (voters.containsKey(name)) {
                 try {
-                    seat = SimFleet.this.work == null ? new Seat(this, net, rules, this::keep, random.nextLong())
-                        : new Seat(this, net, rules, this::keep, random.nextLong(), SimFleet.this.work::register);
+                    seat = SimFleet.this.work == null ? new Seat(this, net, rules, this::store, random.nextLong())
+                        : new Seat(this, net, rules, this::store, random.nextLong(), SimFleet.this.work::register);
                 } catch (IOException e) {
                     throw new UncheckedIOException(e);
                 }
@@ -164,9 +164,9 @@
             attendant.start(work);
         }
 
-        private Keep keep() throws IOException {
+        private ConsensusStore store() throws IOException {
             rows = rows.afterKill();
-            return new Keep(rows, () -> Long.toHexString(random.nextLong()));
+            return new ConsensusStore(rows, () -> Long.toHexString(random.nextLong()));
         }
 
         /** As the program's own: a voter whose state could not be written reads it again, once that works. */
@@ -201,14 +201,14 @@
 
         /** As a voter that does not write its vote down. */
         private void forgetVote() {
-            byte[] row = rows.all(Rows.Table.META).get(3L);
+            byte[] row = rows.all(RowStore.Table.META).get(3L);
             if (row != null) {
                 Map<String, Object> t = Cbor.map(java.util.Arrays.copyOfRange(row, 4, row.length));
                 byte[] body = Cbor.write(Words.letter("t", "term", Words.number(t, "term"), "voted", ""));
                 java.util.zip.CRC32C sum = new java.util.zip.CRC32C();
                 sum.update(body, 0, body.length);
                 try {
-                    rows.put(Rows.Table.META, 3, java.nio.ByteBuffer.allocate(4 + body.length).putInt((int) sum.getValue())
+                    rows.put(RowStore.Table.META, 3, java.nio.ByteBuffer.allocate(4 + body.length).putInt((int) sum.getValue())
                         .put(body).array());
                     rows.flush();
                 } catch (IOException e) {
@@ -218,7 +218,7 @@
         }
 
         void loseState() {
-            rows = new MemoryRows();
+            rows = new MemoryRowStore();
             identity = Long.toHexString(random.nextLong());
         }
 
@@ -662,7 +662,7 @@
                 // Its disk is full for a while.
                 if (p.seat != null && p.alive) {
                     p.rows.full = true;
-                    MemoryRows full = p.rows;
+                    MemoryRowStore full = p.rows;
                     at(now + 3_000_000_000L, () -> full.full = false);
                 }
             }
