--- a/src/bench/java/wingroad/fleet/OwnerBench.java
+++ b/src/bench/java/wingroad/fleet/OwnerBench.java
@@ -350,7 +350,7 @@
 
     /** Those that own something and are left alone now. */
     private List<Rig.Driver> owners() {
-        return duties().values().stream().map(o -> rig.driver(Words.text(o, "owner"))).filter(o -> o != null && free(o)).toList();
+        return duties().values().stream().map(o -> rig.driver(MessageCodec.text(o, "owner"))).filter(o -> o != null && free(o)).toList();
     }
 
     private void fault(Rig.Driver d, int kind, int length) throws Exception {
@@ -482,7 +482,7 @@
                 }
                 try (FleetClient c = new FleetClient(rules(), v)) {
                     Map<String, Object> s = c.status();
-                    best = best == null || Words.number(s, "revision") > Words.number(best, "revision") ? s : best;
+                    best = best == null || MessageCodec.number(s, "revision") > MessageCodec.number(best, "revision") ? s : best;
                 } catch (IOException | RuntimeException e) {
                     // the next one knows
                 }
@@ -490,7 +490,7 @@
                     break;
                 }
             }
-            if (best != null && Words.number(best, "revision") >= Words.number(status, "revision")) {
+            if (best != null && MessageCodec.number(best, "revision") >= MessageCodec.number(status, "revision")) {
                 status = best;
             }
             try {
@@ -506,7 +506,7 @@
         if (status.get("duties") instanceof List<?> l) {
             l.forEach(o -> {
                 Map<String, Object> d = Json.object(o, "a duty");
-                all.put(Words.text(d, "name"), d);
+                all.put(MessageCodec.text(d, "name"), d);
             });
         }
         return all;
@@ -516,8 +516,8 @@
     private void owned(Rig.Driver d, List<Long> times) {
         long now = System.currentTimeMillis();
         duties().forEach((name, duty) -> {
-            if (Words.text(duty, "owner").equals(d.name)) {
-                measure(name, Words.number(duty, "epoch"), now, times);
+            if (MessageCodec.text(duty, "owner").equals(d.name)) {
+                measure(name, MessageCodec.number(duty, "epoch"), now, times);
             }
         });
     }
@@ -525,7 +525,7 @@
     private void measure(String name, long epoch, long from, List<Long> times) {
         in(50, () -> {
             Map<String, Object> duty = duties().get(name);
-            if (duty != null && Words.number(duty, "epoch") > epoch) {
+            if (duty != null && MessageCodec.number(duty, "epoch") > epoch) {
                 // By the history: the first grant behind the old one, even where it has moved on since.
                 for (Object line : (List<?>) duty.get("history")) {
                     String[] w = line.toString().split(" ");
@@ -565,13 +565,13 @@
         int without = DUTIES;
         for (int i = 0; i < 150 && without > 0; i++) {
             TimeUnit.MILLISECONDS.sleep(200);
-            without = DUTIES - (int) duties().values().stream().filter(d -> rig.drivers.containsKey(Words.text(d, "owner")))
+            without = DUTIES - (int) duties().values().stream().filter(d -> rig.drivers.containsKey(MessageCodec.text(d, "owner")))
                 .count();
         }
         return without;
     }
 
-    /** Letters between voters that grant a vote: no voter may grant two in one term. */
+    /** Messages between voters that grant a vote: no voter may grant two in one term. */
     private boolean watchVotes(Map<Object, ByteBuffer> open, Object connection, ByteBuffer bytes, String to) {
         ByteBuffer old = open.get(connection);
         ByteBuffer all = ByteBuffer.allocate((old == null ? 0 : old.remaining()) + bytes.remaining());
@@ -583,16 +583,16 @@
             byte[] text = new byte[all.getInt()];
             all.get(text);
             Map<String, Object> m = Cbor.map(text);
-            if (Words.text(m, "k").equals("raft")) {
+            if (MessageCodec.text(m, "k").equals("raft")) {
                 Map<String, Object> r = Json.object(m.get("m"), "a message");
-                String kind = Words.text(r, "k");
+                String kind = MessageCodec.text(r, "k");
                 boolean votes = kind.equals("voted") && Boolean.TRUE.equals(r.get("yes"));
                 if (votes || kind.equals("vote")) {
-                    String whom = votes ? to : Words.Endpoint.of(Words.text(r, "s")).name();
+                    String whom = votes ? to : MessageCodec.Endpoint.of(MessageCodec.text(r, "s")).name();
                     synchronized (this.votes) {
-                        String before = this.votes.putIfAbsent(Words.text(r, "s") + " " + r.get("t"), whom);
+                        String before = this.votes.putIfAbsent(MessageCodec.text(r, "s") + " " + r.get("t"), whom);
                         if (before != null && !before.equals(whom)) {
-                            votesTwice.add(Words.text(r, "s") + " votes in term " + r.get("t") + " for " + before + " and " + whom);
+                            votesTwice.add(MessageCodec.text(r, "s") + " votes in term " + r.get("t") + " for " + before + " and " + whom);
                         }
                     }
                 }
--- a/src/bench/java/wingroad/fleet/WorkSim.java
+++ b/src/bench/java/wingroad/fleet/WorkSim.java
@@ -75,12 +75,12 @@
         f.work = new SimWork(f, machines, machines / 3, atOnce);
         f.procs.values().forEach(SimFleet.Proc::start);
         f.play(15_000);
-        long idle = f.letters;
+        long idle = f.messages;
         f.play(5_000);
-        idle = (f.letters - idle) / 5;
+        idle = (f.messages - idle) / 5;
         long begun = System.nanoTime();
         long from = f.now;
-        long letters = f.letters;
+        long messages = f.messages;
         f.work.askAll();
         while (f.work.asksSettled() < machines && f.now - from < 60_000_000_000L) {
             f.play(20);
@@ -95,7 +95,7 @@
         double seconds = (f.now - from) / 1e9;
         return String.format(java.util.Locale.ROOT, "drivers %d, machines %d, at once %d: plan_ms %d (all asks settled), out %d after %.1f s, "
             + "rounds %d (looks of the conductor), messages_per_machine %.0f (of %.0f a second, %d at rest), broken %d, played in %d s",
-            drivers, machines, atOnce, settled, f.work.out, seconds, rounds, (f.letters - letters - idle * seconds) / f.work.out,
-            (f.letters - letters) / seconds, idle, f.broken.size(), (System.nanoTime() - begun) / 1_000_000_000);
+            drivers, machines, atOnce, settled, f.work.out, seconds, rounds, (f.messages - messages - idle * seconds) / f.work.out,
+            (f.messages - messages) / seconds, idle, f.broken.size(), (System.nanoTime() - begun) / 1_000_000_000);
     }
 }
--- a/src/main/java/wingroad/driver/FleetPart.java
+++ b/src/main/java/wingroad/driver/FleetPart.java
@@ -31,7 +31,7 @@
         ChoreDesk desk = new ChoreDesk(loop, exchange, Terms.of(configuration.settings()));
         Fleet fleet = Fleet.begin(rules.named(configuration.name()), log::line, log::fault, desk, (epoch, m) -> {
             if (lists != null) {
-                lists.letter(epoch, m);
+                lists.message(epoch, m);
             }
         }, work);
         desk.answerOn(fleet::run);
--- a/src/main/java/wingroad/driver/ListDesk.java
+++ b/src/main/java/wingroad/driver/ListDesk.java
@@ -15,7 +15,7 @@
 
 /**
  * Discovery asked by one driver for all: hands on what the owner finds, takes what is handed on, and follows discovery itself
- * whenever {@link Hearsay} does not go by the owner. On the loop's thread, but for {@link #letter}.
+ * whenever {@link Hearsay} does not go by the owner. On the loop's thread, but for {@link #message}.
  */
 final class ListDesk {
     private final EventLoop loop;
@@ -94,7 +94,7 @@
     }
 
     /** What the owner has handed on, on the fleet's thread. */
-    void letter(long epoch, Map<String, Object> m) {
+    void message(long epoch, Map<String, Object> m) {
         loop.run(() -> {
             try {
                 told(epoch, m);
--- a/src/main/java/wingroad/fleet/Attendant.java
+++ b/src/main/java/wingroad/fleet/Attendant.java
@@ -119,7 +119,7 @@
         if (greeted && opened && report != null) {
             // At rest, with no machine asked for, it is heard often enough by far less.
             reportIn = report.busy().isEmpty() && ++reports > REPORTS ? REST_BEATS : REPORT_BEATS;
-            wire.send(Words.letter("report", "line", report.line(sessionLease.session())));
+            wire.send(MessageCodec.message("report", "line", report.line(sessionLease.session())));
         }
     }
 
@@ -194,13 +194,13 @@
     void publish(String duty, Map<String, Object> what) {
         SessionLease.Held h = sessionLease.known(duty);
         if (greeted && h != null && sessionLease.mayAct(duty, h.epoch(), host.now())) {
-            wire.send(Words.letter("publish", "duty", duty, "epoch", h.epoch(), "what", what));
+            wire.send(MessageCodec.message("publish", "duty", duty, "epoch", h.epoch(), "what", what));
         }
     }
 
     private void send(Op op) {
         if (greeted) {
-            wire.send(Words.letter("ask", "op", Words.of(op)));
+            wire.send(MessageCodec.message("ask", "op", MessageCodec.of(op)));
         }
     }
 
@@ -237,7 +237,7 @@
             if (!opened) {
                 send(Op.open(sessionLease.session(), identity, rules.duties()));
             }
-            wire.send(Words.letter("beat", "n", sessionLease.beat(host.now())));
+            wire.send(MessageCodec.message("beat", "n", sessionLease.beat(host.now())));
             asks.values().forEach(this::send);
             if (--reportIn <= 0) {
                 sendReport();
@@ -288,7 +288,7 @@
     @Override
     public void up(Wire w) {
         up = true;
-        w.send(Words.letter("hello", "fleet", rules.name(), "name", rules.driver(), "role", "driver", "identity", identity,
+        w.send(MessageCodec.message("hello", "fleet", rules.name(), "name", rules.driver(), "role", "driver", "identity", identity,
             "run", run()));
     }
 
@@ -314,8 +314,8 @@
     }
 
     @Override
-    public void letter(Wire w, Map<String, Object> m) {
-        switch (Words.text(m, "k")) {
+    public void message(Wire w, Map<String, Object> m) {
+        switch (MessageCodec.text(m, "k")) {
             case "here" -> {
                 voters(m.get("voters"));
                 if (!greeted) {
@@ -325,24 +325,24 @@
             }
             case "settled" -> settled(m);
             case "plan" -> {
-                if (worker != null && Words.number(m, "of") >= planOf) {
-                    planOf = Words.number(m, "of");
+                if (worker != null && MessageCodec.number(m, "of") >= planOf) {
+                    planOf = MessageCodec.number(m, "of");
                     worker.plan(Json.object(m.get("news"), "the plan"), m.get("sums") instanceof List<?> l ? l : null,
                         m.get("live") instanceof List<?> l ? l : null);
                 }
             }
             case "refused" -> {
-                refused(order.get(at) + ": " + Words.text(m, "why"));
+                refused(order.get(at) + ": " + MessageCodec.text(m, "why"));
                 next();
                 openAt = host.now().plus(REFUSED_AGAIN);
             }
             case "news" -> {
-                long epoch = Words.number(m, "epoch");
-                if (fence.admits(Words.text(m, "duty"), epoch)) {
+                long epoch = MessageCodec.number(m, "epoch");
+                if (fence.admits(MessageCodec.text(m, "duty"), epoch)) {
                     news.heard(epoch, Json.object(m.get("what"), "news"));
                 }
             }
-            case "not-opened" -> refused(Words.text(m, "why"));
+            case "not-opened" -> refused(MessageCodec.text(m, "why"));
             default -> {
                 // of no concern here
             }
@@ -357,7 +357,7 @@
     }
 
     private void settled(Map<String, Object> m) {
-        long rev = Words.number(m, "rev");
+        long rev = MessageCodec.number(m, "rev");
         if (rev < revision) {
             // A voter that lags: what it knows has been overtaken.
             return;
@@ -380,7 +380,7 @@
             opened = true;
             refusal = "";
             sessionLease.opened();
-            sessionLease.settled(Words.number(m, "beat"), host.now());
+            sessionLease.settled(MessageCodec.number(m, "beat"), host.now());
         } else if (leaving) {
             if (left != null) {
                 left.run();
@@ -407,7 +407,7 @@
         old.known().forEach(sessionLease::told);
         host.log("fleet: the council has ended " + old.session() + "; opens " + sessionLease.session());
         if (greeted) {
-            wire.send(Words.letter("again", "run", run()));
+            wire.send(MessageCodec.message("again", "run", run()));
             send(Op.open(sessionLease.session(), identity, rules.duties()));
         }
     }
--- a/src/main/java/wingroad/fleet/Cbor.java
+++ b/src/main/java/wingroad/fleet/Cbor.java
@@ -63,7 +63,7 @@
     static Map<String, Object> map(byte[] bytes) {
         try (JsonParser in = FACTORY.createParser(bytes)) {
             in.nextToken();
-            return Json.object(Json.value(in), "a letter");
+            return Json.object(Json.value(in), "a message");
         } catch (IOException e) {
             throw new Json.Malformed("no CBOR: " + e.getMessage());
         }
--- a/src/main/java/wingroad/fleet/ConsensusStore.java
+++ b/src/main/java/wingroad/fleet/ConsensusStore.java
@@ -18,7 +18,7 @@
 import java.util.TreeMap;
 import java.util.function.Supplier;
 import java.util.zip.CRC32C;
-import wingroad.fleet.Words.Endpoint;
+import wingroad.fleet.MessageCodec.Endpoint;
 import wingroad.protocol.Json;
 
 /**
@@ -76,10 +76,10 @@
         }
         Map<String, Object> self = map(meta.get(SELF));
         identity = Json.text(self, "identity");
-        group = Words.text(self, "group");
-        proposed = Words.text(self, "proposed");
-        founders = Words.texts(self.get("founders"));
-        epochs = Words.number(self, "epochs");
+        group = MessageCodec.text(self, "group");
+        proposed = MessageCodec.text(self, "proposed");
+        founders = MessageCodec.texts(self.get("founders"));
+        epochs = MessageCodec.number(self, "epochs");
         if (meta.get(WITNESS) != null) {
             map(meta.get(WITNESS)).forEach((e, v) -> {
                 List<?> l = (List<?>) v;
@@ -97,15 +97,15 @@
 
     private RestoredRaftState restore(Map<Long, byte[]> meta) throws IOException {
         Map<String, Object> e = map(meta.get(ENDPOINT));
-        RaftEndpointPersistentState local = Words.MODELS.createRaftEndpointPersistentStateBuilder()
+        RaftEndpointPersistentState local = MessageCodec.MODELS.createRaftEndpointPersistentStateBuilder()
             .setLocalEndpoint(Endpoint.of(Json.text(e, "e"))).setVoting(Boolean.TRUE.equals(e.get("vote"))).build();
         Map<String, Object> t = meta.get(TERM) == null ? Map.of() : map(meta.get(TERM));
-        String voted = Words.text(t, "voted");
-        RaftTermPersistentState term = Words.MODELS.createRaftTermPersistentStateBuilder()
-            .setTerm((int) Words.number(t, "term")).setVotedFor(voted.isEmpty() ? null : Endpoint.of(voted)).build();
+        String voted = MessageCodec.text(t, "voted");
+        RaftTermPersistentState term = MessageCodec.MODELS.createRaftTermPersistentStateBuilder()
+            .setTerm((int) MessageCodec.number(t, "term")).setVotedFor(voted.isEmpty() ? null : Endpoint.of(voted)).build();
         TreeMap<Long, List<SnapshotChunk>> snapshots = new TreeMap<>();
         for (byte[] row : rows.all(RowStore.Table.CHUNKS).values()) {
-            SnapshotChunk c = Words.chunk(map(row));
+            SnapshotChunk c = MessageCodec.chunk(map(row));
             snapshots.computeIfAbsent(c.getIndex(), i -> new ArrayList<>()).add(c);
         }
         snapshots.values().removeIf(l -> l.size() != l.get(0).getSnapshotChunkCount());
@@ -115,15 +115,15 @@
             List<SnapshotChunk> newest = snapshots.lastEntry().getValue();
             SnapshotChunk first = newest.get(0);
             from = first.getIndex();
-            snapshot = Words.MODELS.createSnapshotEntryBuilder().setIndex(from).setTerm(first.getTerm())
+            snapshot = MessageCodec.MODELS.createSnapshotEntryBuilder().setIndex(from).setTerm(first.getTerm())
                 .setSnapshotChunks(new ArrayList<Object>(newest).stream().map(c -> (SnapshotChunk) c).toList())
                 .setGroupMembersView(first.getGroupMembersView()).build();
         }
         List<LogEntry> entries = new ArrayList<>();
         for (byte[] row : rows.all(RowStore.Table.LOG).tailMap(from + 1).values()) {
-            entries.add(Words.entry(map(row)));
+            entries.add(MessageCodec.entry(map(row)));
         }
-        return new RestoredRaftState(local, Words.view(map(meta.get(INITIAL))), term, snapshot, entries);
+        return new RestoredRaftState(local, MessageCodec.view(map(meta.get(INITIAL))), term, snapshot, entries);
     }
 
     private void begin() throws IOException {
@@ -268,33 +268,33 @@
 
     @Override
     public void persistAndFlushLocalEndpoint(RaftEndpointPersistentState s) throws IOException {
-        put(RowStore.Table.META, ENDPOINT, Words.letter("e", "e", s.getLocalEndpoint().getId(), "vote", s.isVoting()));
+        put(RowStore.Table.META, ENDPOINT, MessageCodec.message("e", "e", s.getLocalEndpoint().getId(), "vote", s.isVoting()));
         flush();
     }
 
     @Override
     public void persistAndFlushInitialGroupMembers(RaftGroupMembersView v) throws IOException {
-        put(RowStore.Table.META, INITIAL, Words.of(v));
+        put(RowStore.Table.META, INITIAL, MessageCodec.of(v));
         flush();
     }
 
     @Override
     public void persistAndFlushTerm(RaftTermPersistentState t) throws IOException {
         RaftEndpoint voted = t.getVotedFor();
-        put(RowStore.Table.META, TERM, Words.letter("t", "term", t.getTerm(), "voted", voted == null ? "" : voted.getId()));
+        put(RowStore.Table.META, TERM, MessageCodec.message("t", "term", t.getTerm(), "voted", voted == null ? "" : voted.getId()));
         flush();
     }
 
     @Override
     public void persistLogEntries(List<LogEntry> entries) throws IOException {
         for (LogEntry e : entries) {
-            put(RowStore.Table.LOG, e.getIndex(), Words.of(e));
+            put(RowStore.Table.LOG, e.getIndex(), MessageCodec.of(e));
         }
     }
 
     @Override
     public void persistSnapshotChunk(SnapshotChunk c) throws IOException {
-        put(RowStore.Table.CHUNKS, c.getIndex() << 10 | c.getSnapshotChunkIndex(), Words.of(c));
+        put(RowStore.Table.CHUNKS, c.getIndex() << 10 | c.getSnapshotChunkIndex(), MessageCodec.of(c));
     }
 
     @Override
--- a/src/main/java/wingroad/fleet/FleetClient.java
+++ b/src/main/java/wingroad/fleet/FleetClient.java
@@ -24,7 +24,7 @@
             socket.connect(at, CONNECT_MS);
             socket.setSoTimeout(ANSWER_MS);
             in = new DataInputStream(socket.getInputStream());
-            send(Words.letter("hello", "fleet", rules.name(), "name", "guest", "role", "guest"));
+            send(MessageCodec.message("hello", "fleet", rules.name(), "name", "guest", "role", "guest"));
             await("here");
         } catch (IOException | RuntimeException e) {
             socket.close();
@@ -32,8 +32,8 @@
         }
     }
 
-    private void send(Map<String, Object> letter) throws IOException {
-        byte[] text = Cbor.write(letter);
+    private void send(Map<String, Object> message) throws IOException {
+        byte[] text = Cbor.write(message);
         byte[] frame = java.nio.ByteBuffer.allocate(4 + text.length).putInt(text.length).put(text).array();
         socket.getOutputStream().write(frame);
     }
@@ -42,51 +42,51 @@
         while (true) {
             int length = in.readInt();
             if (length < 0 || length > LONGEST) {
-                throw new IOException("a letter of " + length + " bytes");
+                throw new IOException("a message of " + length + " bytes");
             }
             try {
                 Map<String, Object> m = Cbor.map(in.readNBytes(length));
-                String k = Words.text(m, "k");
+                String k = MessageCodec.text(m, "k");
                 if (k.equals(kind)) {
                     return m;
                 } else if (k.equals("refused")) {
-                    throw new IOException("refused: " + Words.text(m, "why"));
+                    throw new IOException("refused: " + MessageCodec.text(m, "why"));
                 }
             } catch (Json.Malformed e) {
-                throw new IOException("a broken letter: " + e.getMessage());
+                throw new IOException("a broken message: " + e.getMessage());
             }
         }
     }
 
     /** All that the voter knows. */
     public Map<String, Object> status() throws IOException {
-        send(Words.letter("status"));
+        send(MessageCodec.message("status"));
         return Json.object(Json.need(await("status"), "status"), "the status");
     }
 
     /** Asks for a duty's hand-over; the answer once it is settled: empty, or why it is not done. Safe to repeat. */
     public String handOver(String duty, String to, String ask) throws IOException {
-        send(Words.letter("ask", "op", Words.of(Op.handOver(duty, to, ask))));
-        return Words.text(await("answer"), "result");
+        send(MessageCodec.message("ask", "op", MessageCodec.of(Op.handOver(duty, to, ask))));
+        return MessageCodec.text(await("answer"), "result");
     }
 
     /** Asks for a voter to be let in at an address, or with none taken out; the answer as for a hand-over. */
     public String voter(String name, String address, String ask) throws IOException {
-        send(Words.letter("ask", "op", Words.of(Op.voter(name, address, ask))));
-        return Words.text(await("answer"), "result");
+        send(MessageCodec.message("ask", "op", MessageCodec.of(Op.voter(name, address, ask))));
+        return MessageCodec.text(await("answer"), "result");
     }
 
     /** Asks for a machine; the answer once it is settled: empty, or why it can't be had. Safe to repeat under the same name. */
     public String workAsk(String machine, String why, long forMs, long before, java.util.List<String> after, String ask)
             throws IOException {
-        send(Words.letter("ask", "op", Words.of(Op.workAsk(machine, why, forMs, before, after, ask))));
-        return Words.text(await("answer"), "result");
+        send(MessageCodec.message("ask", "op", MessageCodec.of(Op.workAsk(machine, why, forMs, before, after, ask))));
+        return MessageCodec.text(await("answer"), "result");
     }
 
     /** Says a word on a machine, or on all as "*"; the answer as for an ask. */
     public String workWord(String word, String machine, String ask) throws IOException {
-        send(Words.letter("ask", "op", Words.of(Op.workWord(word, machine, ask))));
-        return Words.text(await("answer"), "result");
+        send(MessageCodec.message("ask", "op", MessageCodec.of(Op.workWord(word, machine, ask))));
+        return MessageCodec.text(await("answer"), "result");
     }
 
     @Override
--- a/src/main/java/wingroad/fleet/LoopNet.java
+++ b/src/main/java/wingroad/fleet/LoopNet.java
@@ -10,7 +10,7 @@
 import wingroad.transport.EventLoop;
 import wingroad.transport.Listener;
 
-/** Letters over TCP: each as its length in four bytes and its CBOR. */
+/** Messages over TCP: each as its length in four bytes and its CBOR. */
 final class LoopNet implements Net {
     private static final int LONGEST = 4 << 20;
     private static final long MOST_UNSENT = 8L << 20;
@@ -61,11 +61,11 @@
         }
 
         @Override
-        public void send(Map<String, Object> letter) {
+        public void send(Map<String, Object> message) {
             if (over || link == null) {
                 return;
             }
-            byte[] text = Cbor.write(letter);
+            byte[] text = Cbor.write(message);
             handedOver += text.length + 4;
             if (handedOver - link.wrote() > MOST_UNSENT) {
                 // Whoever does not read gets no more: what waits for it must not fill the memory.
@@ -97,7 +97,7 @@
             while (!over && in.remaining() >= 4) {
                 int length = in.getInt(in.position());
                 if (length < 0 || length > LONGEST) {
-                    end("a letter of " + length + " bytes");
+                    end("a message of " + length + " bytes");
                     return;
                 }
                 if (in.remaining() < 4 + length) {
@@ -107,16 +107,16 @@
                 in.getInt();
                 in.get(text);
                 try {
-                    owner.letter(this, Cbor.map(text));
+                    owner.message(this, Cbor.map(text));
                 } catch (Json.Malformed | ClassCastException e) {
-                    end("a broken letter: " + e.getMessage());
+                    end("a broken message: " + e.getMessage());
                 }
             }
         }
 
         @Override
         public void full() {
-            end("no memory for its letters");
+            end("no memory for its messages");
         }
 
         @Override
--- a/src/main/java/wingroad/fleet/Words.java
+++ b/src/main/java/wingroad/fleet/MessageCodec.java
@@ -31,10 +31,10 @@
 import wingroad.protocol.Json;
 
 /** The consensus engine's models and our own ops as plain values, for the wire and the disk. */
-final class Words {
+final class MessageCodec {
     static final RaftModelFactory MODELS = new DefaultRaftModelFactory();
 
-    private Words() {
+    private MessageCodec() {
     }
 
     /** A voter in the engine's eyes: "name/identity". */
@@ -60,7 +60,7 @@
         }
     }
 
-    static Map<String, Object> letter(String kind, Object... fields) {
+    static Map<String, Object> message(String kind, Object... fields) {
         Map<String, Object> m = new LinkedHashMap<>();
         m.put("k", kind);
         for (int i = 0; i < fields.length; i += 2) {
@@ -88,7 +88,7 @@
     // ---- ops ----
 
     static Map<String, Object> of(Op op) {
-        Map<String, Object> m = letter(op.kind().name());
+        Map<String, Object> m = message(op.kind().name());
         put(m, "by", op.by());
         put(m, "duty", op.duty());
         put(m, "to", op.to());
@@ -149,7 +149,7 @@
     }
 
     static Map<String, Object> of(RaftGroupMembersView v) {
-        return letter("view", "i", v.getLogIndex(), "all", ids(v.getMembers()), "vote", ids(v.getVotingMembers()));
+        return message("view", "i", v.getLogIndex(), "all", ids(v.getMembers()), "vote", ids(v.getVotingMembers()));
     }
 
     static RaftGroupMembersView view(Object of) {
@@ -163,10 +163,10 @@
             return of(op);
         }
         if (operation instanceof UpdateRaftGroupMembersOp u) {
-            return letter("members", "all", ids(u.getMembers()), "vote", ids(u.getVotingMembers()), "e",
+            return message("members", "all", ids(u.getMembers()), "vote", ids(u.getVotingMembers()), "e",
                 u.getEndpoint().getId(), "mode", u.getMode().name());
         }
-        return letter("whole", "v", operation);
+        return message("whole", "v", operation);
     }
 
     private static Object operation(Object of) {
@@ -181,7 +181,7 @@
     }
 
     static Map<String, Object> of(LogEntry e) {
-        return letter("entry", "i", e.getIndex(), "t", e.getTerm(), "op", ofOperation(e.getOperation()));
+        return message("entry", "i", e.getIndex(), "t", e.getTerm(), "op", ofOperation(e.getOperation()));
     }
 
     static LogEntry entry(Object of) {
@@ -191,7 +191,7 @@
     }
 
     static Map<String, Object> of(SnapshotChunk c) {
-        return letter("chunk", "i", c.getIndex(), "t", c.getTerm(), "op", ofOperation(c.getOperation()), "c",
+        return message("chunk", "i", c.getIndex(), "t", c.getTerm(), "op", ofOperation(c.getOperation()), "c",
             c.getSnapshotChunkIndex(), "of", c.getSnapshotChunkCount(), "view", of(c.getGroupMembersView()));
     }
 
@@ -205,10 +205,10 @@
     // ---- messages between voters ----
 
     static Map<String, Object> of(RaftMessage any) {
-        Map<String, Object> m = letter("", "g", any.getGroupId(), "s", any.getSender().getId(), "t", any.getTerm());
+        Map<String, Object> m = message("", "g", any.getGroupId(), "s", any.getSender().getId(), "t", any.getTerm());
         if (any instanceof AppendEntriesRequest r) {
             return more(m, "append", "pt", r.getPreviousLogTerm(), "pi", r.getPreviousLogIndex(), "ci", r.getCommitIndex(),
-                "e", r.getLogEntries().stream().map(Words::of).toList(), "q", r.getQuerySequenceNumber(), "f",
+                "e", r.getLogEntries().stream().map(MessageCodec::of).toList(), "q", r.getQuerySequenceNumber(), "f",
                 r.getFlowControlSequenceNumber());
         } else if (any instanceof AppendEntriesSuccessResponse r) {
             return more(m, "appended", "li", r.getLastLogIndex(), "q", r.getQuerySequenceNumber(), "f",
@@ -235,11 +235,11 @@
         } else if (any instanceof TriggerLeaderElectionRequest r) {
             return more(m, "lead", "lt", r.getLastLogTerm(), "li", r.getLastLogIndex());
         }
-        throw new IllegalArgumentException("no words for " + any.getClass());
+        throw new IllegalArgumentException("no form for " + any.getClass());
     }
 
     private static Map<String, Object> more(Map<String, Object> m, String kind, Object... fields) {
-        m.putAll(letter(kind, fields));
+        m.putAll(message(kind, fields));
         return m;
     }
 
--- a/src/main/java/wingroad/fleet/Net.java
+++ b/src/main/java/wingroad/fleet/Net.java
@@ -2,14 +2,14 @@
 
 import java.util.Map;
 
-/** Connections that carry letters, each whole and in order, or break. */
+/** Connections that carry messages, each whole and in order, or break. */
 public interface Net {
     /** Opens a connection; its owner hears {@code up} or {@code ended} later, never within this call. */
     Wire open(String address, Owner owner);
 
     /** One connection. */
     interface Wire {
-        void send(Map<String, Object> letter);
+        void send(Map<String, Object> message);
 
         /** Ends it from here; the owner hears nothing more. */
         void close();
@@ -20,7 +20,7 @@
         default void up(Wire wire) {
         }
 
-        void letter(Wire wire, Map<String, Object> letter);
+        void message(Wire wire, Map<String, Object> message);
 
         void ended(Wire wire, String how);
     }
--- a/src/main/java/wingroad/fleet/Seat.java
+++ b/src/main/java/wingroad/fleet/Seat.java
@@ -36,8 +36,8 @@
 import wingroad.duty.Op;
 import wingroad.duty.Overdue;
 import wingroad.duty.Register;
+import wingroad.fleet.MessageCodec.Endpoint;
 import wingroad.fleet.Net.Wire;
-import wingroad.fleet.Words.Endpoint;
 import wingroad.protocol.Json;
 import wingroad.work.Plan;
 import wingroad.work.Strays;
@@ -344,7 +344,7 @@
             enter();
             return;
         }
-        peers.values().forEach(p -> p.send(Words.letter("found", "group", store.proposed(), "members", store.founders(),
+        peers.values().forEach(p -> p.send(MessageCodec.message("found", "group", store.proposed(), "members", store.founders(),
             "epochs", store.epochs())));
     }
 
@@ -376,12 +376,12 @@
         register = registers.apply(store.epochs());
         RaftNode.RaftNodeBuilder b = RaftNode.newBuilder().setGroupId(store.group()).setConfig(ENGINE).setRandom(random)
             .setClock(new EngineClock()).setExecutor(new EngineThread(mine)).setTransport(new EngineMail())
-            .setStateMachine(new Settled(mine)).setStore(store).setModelFactory(Words.MODELS);
+            .setStateMachine(new Settled(mine)).setStore(store).setModelFactory(MessageCodec.MODELS);
         RestoredRaftState restored = store.restored();
         if (restored != null) {
             b.setRestoredState(restored);
         } else {
-            b.setLocalEndpoint(self()).setInitialGroupMembers(Words.endpoints(store.founders()));
+            b.setLocalEndpoint(self()).setInitialGroupMembers(MessageCodec.endpoints(store.founders()));
         }
         node = b.build();
         phase = Phase.IN;
@@ -443,7 +443,7 @@
             }
             if (!members.getMembers().contains(p.endpoint())) {
                 if (p.group.isEmpty()) {
-                    p.send(Words.letter("let-in", "group", store.group(), "members", store.founders(), "epochs", store.epochs()));
+                    p.send(MessageCodec.message("let-in", "group", store.group(), "members", store.founders(), "epochs", store.epochs()));
                 } else if (p.group.equals(store.group())) {
                     change(p.endpoint(), MembershipChangeMode.ADD_OR_PROMOTE_TO_FOLLOWER, members);
                     return;
@@ -473,7 +473,7 @@
                 // Not settled, or not known to be: whoever asked for it asks again.
             });
         } else {
-            toLeader(Words.letter("pass", "op", Words.of(op)));
+            toLeader(MessageCodec.message("pass", "op", MessageCodec.of(op)));
         }
     }
 
@@ -482,11 +482,11 @@
         submit(op);
     }
 
-    private void toLeader(Map<String, Object> letter) {
+    private void toLeader(Map<String, Object> message) {
         RaftEndpoint leader = node.getTerm().getLeaderEndpoint();
         Peer p = leader == null ? null : peers.get(((Endpoint) leader).name());
         if (p != null) {
-            p.send(letter);
+            p.send(message);
         }
     }
 
@@ -509,10 +509,10 @@
                 }
             } else {
                 if (!reports.isEmpty()) {
-                    toLeader(Words.letter("reports", "lines", List.copyOf(reports.values())));
+                    toLeader(MessageCodec.message("reports", "lines", List.copyOf(reports.values())));
                 }
                 if (!beats.isEmpty()) {
-                    toLeader(Words.letter("beats", "beats", new TreeMap<>(beats)));
+                    toLeader(MessageCodec.message("beats", "beats", new TreeMap<>(beats)));
                 }
                 // A leader that has started lately counts anew; one that has been here all along knows earlier.
                 overdue.ends(host.now().minus(rules.lease().beat())).stream().limit(MOST_ENDS)
@@ -529,11 +529,11 @@
         lookAtSessions();
         if (!result.isEmpty() && op.kind() == Op.Kind.OPEN) {
             guests.stream().filter(g -> g.session.equals(op.by())).toList()
-                .forEach(g -> g.wire.send(Words.letter("not-opened", "why", result)));
+                .forEach(g -> g.wire.send(MessageCodec.message("not-opened", "why", result)));
         }
         if (!op.ask().isEmpty()) {
             guests.stream().filter(g -> g.asks.remove(op.ask())).toList()
-                .forEach(g -> g.wire.send(Words.letter("answer", "ask", op.ask(), "result", result)));
+                .forEach(g -> g.wire.send(MessageCodec.message("answer", "ask", op.ask(), "result", result)));
         }
         askPush();
     }
@@ -630,7 +630,7 @@
         public void send(RaftEndpoint to, RaftMessage message) {
             Peer p = peers.get(((Endpoint) to).name());
             if (p != null && p.present() && p.endpoint().equals(to)) {
-                p.send(Words.letter("raft", "m", Words.of(message)));
+                p.send(MessageCodec.message("raft", "m", MessageCodec.of(message)));
             }
         }
 
@@ -670,8 +670,8 @@
     private Map<String, Object> presence(String kind, String caller) {
         ConsensusStore.Seen s = store.seen(caller);
         RaftGroupMembers members = node == null ? null : node.getCommittedMembers();
-        return Words.letter(kind, "fleet", rules.name(), "name", rules.driver(), "identity", store.identity(), "group",
-            store.group(), "voters", new TreeMap<>(node == null ? store.voters() : register.voters()), "members", members == null ? List.of() : Words.ids(members.getMembers()),
+        return MessageCodec.message(kind, "fleet", rules.name(), "name", rules.driver(), "identity", store.identity(), "group",
+            store.group(), "voters", new TreeMap<>(node == null ? store.voters() : register.voters()), "members", members == null ? List.of() : MessageCodec.ids(members.getMembers()),
             "members-at", members == null ? 0 : members.getLogIndex(), "term", s.term(), "entry-term", s.entryTerm(), "index", s.index(), "lead", node == null
                 || node.getTerm().getLeaderEndpoint() == null ? "" : ((Endpoint) node.getTerm().getLeaderEndpoint()).name());
     }
@@ -703,9 +703,9 @@
             return up && !identity.isEmpty();
         }
 
-        void send(Map<String, Object> letter) {
+        void send(Map<String, Object> message) {
             if (up) {
-                wire.send(letter);
+                wire.send(message);
             }
         }
 
@@ -720,41 +720,41 @@
                 shut();
             } else if (up && now.minus(pingedAt).compareTo(PING) >= 0) {
                 pingedAt = now;
-                wire.send(Words.letter("ping"));
+                wire.send(MessageCodec.message("ping"));
             }
         }
 
         @Override
         public void up(Wire w) {
             up = true;
-            w.send(Words.letter("hello", "fleet", rules.name(), "name", rules.driver(), "role", "voter", "identity",
+            w.send(MessageCodec.message("hello", "fleet", rules.name(), "name", rules.driver(), "role", "voter", "identity",
                 store.identity(), "group", store.group()));
         }
 
         @Override
-        public void letter(Wire w, Map<String, Object> m) {
+        public void message(Wire w, Map<String, Object> m) {
             heardAt = host.now();
-            switch (Words.text(m, "k")) {
+            switch (MessageCodec.text(m, "k")) {
                 case "here" -> {
-                    identity = Words.text(m, "identity");
-                    group = Words.text(m, "group");
-                    seenOfUs = new ConsensusStore.Seen((int) Words.number(m, "term"), (int) Words.number(m, "entry-term"),
-                        Words.number(m, "index"));
+                    identity = MessageCodec.text(m, "identity");
+                    group = MessageCodec.text(m, "group");
+                    seenOfUs = new ConsensusStore.Seen((int) MessageCodec.number(m, "term"), (int) MessageCodec.number(m, "entry-term"),
+                        MessageCodec.number(m, "index"));
                     refusal = "";
                     if (group.equals(store.group()) && node != null) {
-                        hearsOfMembers(Words.texts(m.get("members")), Words.number(m, "members-at"));
+                        hearsOfMembers(MessageCodec.texts(m.get("members")), MessageCodec.number(m, "members-at"));
                     }
                     proceed();
                 }
                 case "founding" -> {
-                    if (Words.text(m, "group").equals(store.proposed()) && present()) {
+                    if (MessageCodec.text(m, "group").equals(store.proposed()) && present()) {
                         founding.add(endpoint().id());
                         proceed();
                     }
                 }
                 case "refused" -> {
-                    if (!refusal.equals(Words.text(m, "why"))) {
-                        refusal = Words.text(m, "why");
+                    if (!refusal.equals(MessageCodec.text(m, "why"))) {
+                        refusal = MessageCodec.text(m, "why");
                         host.log("fleet: refused by " + name + " at " + address + ": " + refusal);
                     }
                     shut();
@@ -822,10 +822,10 @@
         }
 
         @Override
-        public void letter(Wire w, Map<String, Object> m) {
+        public void message(Wire w, Map<String, Object> m) {
             heardAt = host.now();
             try {
-                String kind = Words.text(m, "k");
+                String kind = MessageCodec.text(m, "k");
                 if (kind.equals("hello")) {
                     hello(m);
                 } else if (role.isEmpty()) {
@@ -836,27 +836,27 @@
                     fromDriver(kind, m);
                 }
             } catch (Json.Malformed | IllegalArgumentException | ClassCastException e) {
-                refuse("broken letter: " + e.getMessage());
+                refuse("broken message: " + e.getMessage());
             } catch (IOException e) {
                 breaks();
             }
         }
 
         private void refuse(String why) {
-            wire.send(Words.letter("refused", "why", why));
+            wire.send(MessageCodec.message("refused", "why", why));
         }
 
         private void hello(Map<String, Object> m) {
-            name = Words.text(m, "name");
-            String group = Words.text(m, "group");
-            if (!Words.text(m, "fleet").equals(rules.name())) {
+            name = MessageCodec.text(m, "name");
+            String group = MessageCodec.text(m, "group");
+            if (!MessageCodec.text(m, "fleet").equals(rules.name())) {
                 refuse("this is fleet '" + rules.name() + "'");
             } else if (!group.isEmpty() && !store.group().isEmpty() && !group.equals(store.group())) {
                 refuse("this is council " + store.group() + " of fleet '" + rules.name() + "'");
             } else {
-                role = Words.text(m, "role");
-                endpoint = name + "/" + Words.text(m, "identity");
-                session = role.equals("driver") ? name + "/" + Words.text(m, "run") : "";
+                role = MessageCodec.text(m, "role");
+                endpoint = name + "/" + MessageCodec.text(m, "identity");
+                session = role.equals("driver") ? name + "/" + MessageCodec.text(m, "run") : "";
                 wire.send(presence("here", endpoint));
                 push();
             }
@@ -866,7 +866,7 @@
             switch (kind) {
                 case "ping" -> wire.send(presence("here", endpoint));
                 case "raft" -> {
-                    RaftMessage message = Words.message(Json.object(m.get("m"), "a message"));
+                    RaftMessage message = MessageCodec.message(Json.object(m.get("m"), "a message"));
                     saw(message);
                     if (message instanceof AppendEntriesRequest || message instanceof InstallSnapshotRequest) {
                         ledAt = host.now();
@@ -876,26 +876,26 @@
                     }
                 }
                 case "pass" -> {
-                    Op op = Words.op(Json.object(m.get("op"), "an op"));
+                    Op op = MessageCodec.op(Json.object(m.get("op"), "an op"));
                     if (node != null && leads()) {
                         submit(op);
                     }
                 }
                 case "news" -> spread(m);
-                case "beats" -> Words.beats(m.get("beats")).forEach((s, n) -> beats.merge(s, n, Math::max));
-                case "reports" -> Words.texts(m.get("lines")).forEach(this::report);
+                case "beats" -> MessageCodec.beats(m.get("beats")).forEach((s, n) -> beats.merge(s, n, Math::max));
+                case "reports" -> MessageCodec.texts(m.get("lines")).forEach(this::report);
                 case "found" -> {
-                    List<String> members = Words.texts(m.get("members"));
+                    List<String> members = MessageCodec.texts(m.get("members"));
                     if (phase == Phase.FRESH && members.contains(self().id())) {
-                        if (!Words.text(m, "group").equals(store.proposed())) {
-                            store.propose(Words.text(m, "group"), members, Words.number(m, "epochs"));
+                        if (!MessageCodec.text(m, "group").equals(store.proposed())) {
+                            store.propose(MessageCodec.text(m, "group"), members, MessageCodec.number(m, "epochs"));
                         }
-                        wire.send(Words.letter("founding", "group", store.proposed()));
+                        wire.send(MessageCodec.message("founding", "group", store.proposed()));
                     }
                 }
                 case "let-in" -> {
                     if (phase == Phase.FRESH) {
-                        store.found(Words.text(m, "group"), Words.texts(m.get("members")), Words.number(m, "epochs"));
+                        store.found(MessageCodec.text(m, "group"), MessageCodec.texts(m.get("members")), MessageCodec.number(m, "epochs"));
                         enter();
                     }
                 }
@@ -910,8 +910,8 @@
         }
 
         /** To all drivers that are attached here, but for the one that it came from. */
-        private void spread(Map<String, Object> letter) {
-            guests.stream().filter(g -> g != this && !g.session.isEmpty()).toList().forEach(g -> g.wire.send(letter));
+        private void spread(Map<String, Object> message) {
+            guests.stream().filter(g -> g != this && !g.session.isEmpty()).toList().forEach(g -> g.wire.send(message));
         }
 
         /** What a voter sends proves how far its own state has come. */
@@ -933,20 +933,20 @@
             switch (kind) {
                 case "beat" -> {
                     if (!session.isEmpty()) {
-                        beats.merge(session, Words.number(m, "n"), Math::max);
+                        beats.merge(session, MessageCodec.number(m, "n"), Math::max);
                     }
                 }
                 case "report" -> {
-                    if (Words.text(m, "line").startsWith(session + " ")) {
-                        report(Words.text(m, "line"));
+                    if (MessageCodec.text(m, "line").startsWith(session + " ")) {
+                        report(MessageCodec.text(m, "line"));
                     }
                 }
                 case "ask" -> {
-                    Op op = Words.op(Json.object(m.get("op"), "an op"));
+                    Op op = MessageCodec.op(Json.object(m.get("op"), "an op"));
                     boolean own = op.by().equals(session) && !session.isEmpty();
                     String wrong = op.kind() == Op.Kind.VOTER ? whyNot(op) : "";
                     if (!wrong.isEmpty()) {
-                        wire.send(Words.letter("answer", "ask", op.ask(), "result", wrong));
+                        wire.send(MessageCodec.message("answer", "ask", op.ask(), "result", wrong));
                     } else if (own || op.kind() == Op.Kind.HAND_OVER || op.kind() == Op.Kind.VOTER
                         || op.kind() == Op.Kind.WORK_ASK || op.kind() == Op.Kind.WORK_WORD) {
                         if (!op.ask().isEmpty()) {
@@ -958,23 +958,23 @@
                     }
                 }
                 case "publish" -> {
-                    Register.Duty d = register.duty(Words.text(m, "duty"));
-                    if (d != null && d.owner().equals(session) && d.epoch() == Words.number(m, "epoch")) {
-                        Map<String, Object> on = Words.letter("news", "duty", d.name(), "epoch", d.epoch(), "what", m.get("what"));
+                    Register.Duty d = register.duty(MessageCodec.text(m, "duty"));
+                    if (d != null && d.owner().equals(session) && d.epoch() == MessageCodec.number(m, "epoch")) {
+                        Map<String, Object> on = MessageCodec.message("news", "duty", d.name(), "epoch", d.epoch(), "what", m.get("what"));
                         peers.values().forEach(p -> p.send(on));
                         spread(on);
                     }
                 }
                 case "again" -> {
                     // The same connection goes on under another session.
-                    session = name + "/" + Words.text(m, "run");
+                    session = name + "/" + MessageCodec.text(m, "run");
                     sentRevision = -1;
                     sentBeat = -1;
                     sentWork = 0;
                     toldWork = false;
                     push();
                 }
-                case "status" -> wire.send(Words.letter("status", "status", status()));
+                case "status" -> wire.send(MessageCodec.message("status", "status", status()));
                 default -> refuse("not a driver's: " + kind);
             }
         }
@@ -1008,7 +1008,7 @@
             boolean conducts = d.owner().equals(session);
             List<Object> sums = conducts ? plan.sums() : sentSums;
             if (!toldWork || plan.changes() > sentWork || !sums.equals(sentSums)) {
-                Map<String, Object> m = Words.letter("plan", "news", plan.news(toldWork ? sentWork : 0), "of",
+                Map<String, Object> m = MessageCodec.message("plan", "news", plan.news(toldWork ? sentWork : 0), "of",
                     register.revision());
                 if (conducts) {
                     m.put("sums", sums);
@@ -1038,7 +1038,7 @@
             if (beat != sentBeat || !duties.isEmpty() || sentRevision < 0 || sentOpen != (s != null)) {
                 sentBeat = beat;
                 sentOpen = s != null;
-                wire.send(Words.letter("settled", "rev", register.revision(), "open", s != null, "beat", beat, "duties",
+                wire.send(MessageCodec.message("settled", "rev", register.revision(), "open", s != null, "beat", beat, "duties",
                     duties));
             }
             sentRevision = register.revision();
@@ -1062,16 +1062,16 @@
         all.put("revision", register.revision());
         all.put("sessions", register.sessions().stream().map(s -> {
             Duration quiet = overdue.quiet(s.id(), host.now());
-            return Words.letter("session", "name", s.name(), "run", s.id(), "since", s.since(), "quiet-ms",
+            return MessageCodec.message("session", "name", s.name(), "run", s.id(), "since", s.since(), "quiet-ms",
                 quiet == null ? -1 : quiet.toMillis());
         }).toList());
-        all.put("duties", register.duties().stream().map(d -> Words.letter("duty", "name", d.name(), "owner",
+        all.put("duties", register.duties().stream().map(d -> MessageCodec.message("duty", "name", d.name(), "owner",
             Register.driver(d.owner()), "epoch", d.epoch(), "since", d.since(), "turn", d.turn(), "outcome", d.outcome(),
             "wanted", d.wanted(), "history", List.copyOf(d.history()))).toList());
         if (register.duty(WorkRules.CONDUCTOR) != null) {
             Plan plan = register.plan();
-            all.put("work", Words.letter("work", "held", plan.held(), "late-orders", register.lateOrders(), "machines",
-                plan.machines().values().stream().map(m -> Words.letter("machine", "name", m.name(), "zone", m.zone(), "drivers",
+            all.put("work", MessageCodec.message("work", "held", plan.held(), "late-orders", register.lateOrders(), "machines",
+                plan.machines().values().stream().map(m -> MessageCodec.message("machine", "name", m.name(), "zone", m.zone(), "drivers",
                     m.drivers(), "members", m.parts().stream().map(p -> p.uid() + "#" + p.group()).toList())).toList(),
                 "entries", plan.entries().stream().map(e -> e.page(plan.waitsFor(e))).toList(), "astray",
                 plan.astray().stream().map(Plan.Astray::known).toList(), "history", List.copyOf(plan.history())));
--- a/src/test/java/wingroad/fleet/ConsensusStoreTest.java
+++ b/src/test/java/wingroad/fleet/ConsensusStoreTest.java
@@ -9,20 +9,20 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 import wingroad.duty.Op;
-import wingroad.fleet.Words.Endpoint;
+import wingroad.fleet.MessageCodec.Endpoint;
 
 /** A voter's state: what it survives, and when it is not trusted. */
 class ConsensusStoreTest {
     private static ConsensusStore with(RowStore rows, int term, long entries) throws IOException {
         ConsensusStore k = new ConsensusStore(rows, () -> "i1");
         k.found("g", List.of("a/i1"), 0);
-        k.persistAndFlushLocalEndpoint(Words.MODELS.createRaftEndpointPersistentStateBuilder()
+        k.persistAndFlushLocalEndpoint(MessageCodec.MODELS.createRaftEndpointPersistentStateBuilder()
             .setLocalEndpoint(Endpoint.of("a/i1")).setVoting(true).build());
-        k.persistAndFlushInitialGroupMembers(Words.MODELS.createRaftGroupMembersViewBuilder().setLogIndex(0)
-            .setMembers(Words.endpoints(List.of("a/i1"))).setVotingMembers(Words.endpoints(List.of("a/i1"))).build());
-        k.persistAndFlushTerm(Words.MODELS.createRaftTermPersistentStateBuilder().setTerm(term).build());
+        k.persistAndFlushInitialGroupMembers(MessageCodec.MODELS.createRaftGroupMembersViewBuilder().setLogIndex(0)
+            .setMembers(MessageCodec.endpoints(List.of("a/i1"))).setVotingMembers(MessageCodec.endpoints(List.of("a/i1"))).build());
+        k.persistAndFlushTerm(MessageCodec.MODELS.createRaftTermPersistentStateBuilder().setTerm(term).build());
         for (long i = 1; i <= entries; i++) {
-            k.persistLogEntries(List.of(Words.MODELS.createLogEntryBuilder().setIndex(i).setTerm(term)
+            k.persistLogEntries(List.of(MessageCodec.MODELS.createLogEntryBuilder().setIndex(i).setTerm(term)
                 .setOperation(Op.turn("a/1", "x", 5, i)).build()));
         }
         k.flush();
@@ -33,7 +33,7 @@
     void whatWasFlushedIsThereAfterAKillAndWhatWasNotIsNot() throws IOException {
         MemoryRowStore rows = new MemoryRowStore();
         ConsensusStore k = with(rows, 3, 4);
-        k.persistLogEntries(List.of(Words.MODELS.createLogEntryBuilder().setIndex(5).setTerm(3).setOperation(Op.term())
+        k.persistLogEntries(List.of(MessageCodec.MODELS.createLogEntryBuilder().setIndex(5).setTerm(3).setOperation(Op.term())
             .build()));
         ConsensusStore again = new ConsensusStore(rows.afterKill(), () -> "i2");
         assertThat(again.identity()).isEqualTo("i1");
--- a/src/test/java/wingroad/fleet/SimFleet.java
+++ b/src/test/java/wingroad/fleet/SimFleet.java
@@ -61,7 +61,7 @@
     long now;
     private long seq;
     long bytes;
-    long letters;
+    long messages;
     int faults;
     int lateRefused;
 
@@ -204,7 +204,7 @@
             byte[] row = rows.all(RowStore.Table.META).get(3L);
             if (row != null) {
                 Map<String, Object> t = Cbor.map(java.util.Arrays.copyOfRange(row, 4, row.length));
-                byte[] body = Cbor.write(Words.letter("t", "term", Words.number(t, "term"), "voted", ""));
+                byte[] body = Cbor.write(MessageCodec.message("t", "term", MessageCodec.number(t, "term"), "voted", ""));
                 java.util.zip.CRC32C sum = new java.util.zip.CRC32C();
                 sum.update(body, 0, body.length);
                 try {
@@ -455,18 +455,18 @@
         }
 
         @Override
-        public void send(Map<String, Object> letter) {
-            byte[] text = Cbor.write(letter);
-            letters++;
+        public void send(Map<String, Object> message) {
+            byte[] text = Cbor.write(message);
+            messages++;
             bytes += text.length + 4;
             if (!closed && pipe.open) {
-                watch(letter, this == pipe.near ? pipe.to : pipe.from.name);
+                watch(message, this == pipe.near ? pipe.to : pipe.from.name);
                 send0(() -> {
                     End to = other();
                     if (pipe.open && to != null && !to.closed) {
                         to.proc.task(now, () -> {
                             if (!to.closed && to.proc.life == to.life) {
-                                to.owner.letter(to, Cbor.map(text));
+                                to.owner.message(to, Cbor.map(text));
                             }
                         });
                     }
@@ -499,15 +499,15 @@
     }
 
     /** No endpoint may vote for two in one term. */
-    private void watch(Map<String, Object> letter, String to) {
-        if (Words.text(letter, "k").equals("raft")) {
-            Object m = Words.message(cast(letter.get("m")));
+    private void watch(Map<String, Object> message, String to) {
+        if (MessageCodec.text(message, "k").equals("raft")) {
+            Object m = MessageCodec.message(cast(message.get("m")));
             if (m instanceof VoteRequest r) {
-                vote((String) r.getSender().getId(), r.getTerm(), ((Words.Endpoint) r.getSender()).name());
+                vote((String) r.getSender().getId(), r.getTerm(), ((MessageCodec.Endpoint) r.getSender()).name());
             } else if (m instanceof VoteResponse r && r.isGranted()) {
                 vote((String) r.getSender().getId(), r.getTerm(), to);
                 if (onVote != null) {
-                    onVote.accept(((Words.Endpoint) r.getSender()).name(), to);
+                    onVote.accept(((MessageCodec.Endpoint) r.getSender()).name(), to);
                 }
             }
         }
