--- a/src/main/java/wingroad/fleet/Chores.java
+++ b/src/main/java/wingroad/fleet/Chores.java
@@ -12,7 +12,7 @@
  * The chores' turns. A turn is settled in the log before its statement is sent, so that no other turn has its number; the
  * statement goes out once, under the epoch, if the lease still runs then.
  */
-final class Chores implements Attendant.Doer {
+final class Chores implements CouncilSession.Doer {
     /** A turn that is due is looked at again no sooner. */
     private static final Duration AFTER = Duration.ofMillis(20);
 
@@ -34,13 +34,13 @@
     }
 
     private final Host host;
-    private final Attendant attendant;
+    private final CouncilSession councilSession;
     private final Runner runner;
     private final Map<String, Course> courses = new LinkedHashMap<>();
 
-    Chores(Host host, FleetRules rules, Attendant attendant, Runner runner) {
+    Chores(Host host, FleetRules rules, CouncilSession councilSession, Runner runner) {
         this.host = host;
-        this.attendant = attendant;
+        this.councilSession = councilSession;
         this.runner = runner;
         rules.chores().forEach(c -> courses.put(c.duty(), new Course(c)));
     }
@@ -53,7 +53,7 @@
 
     @Override
     public void look() {
-        SessionLease sessionLease = attendant.sessionLease();
+        SessionLease sessionLease = councilSession.sessionLease();
         courses.forEach((duty, c) -> {
             SessionLease.Held h = sessionLease.known(duty);
             if (h != null) {
@@ -70,15 +70,15 @@
         }
         String told = "told " + h.duty();
         if (!h.outcome().isEmpty() || !h.owner().equals(sessionLease.session())) {
-            attendant.withdraw(told);
+            councilSession.withdraw(told);
         }
         if (!sessionLease.mayAct(h.duty(), h.epoch(), now)) {
-            attendant.withdraw("turn " + h.duty());
+            councilSession.withdraw("turn " + h.duty());
             c.asked = 0;
             return;
         }
         if (c.asked > 0 && c.askedEpoch == h.epoch() && h.turn() == c.asked && c.begun < c.asked) {
-            attendant.withdraw("turn " + h.duty());
+            councilSession.withdraw("turn " + h.duty());
             begin(c, h, sessionLease);
         }
         if (!c.waits) {
@@ -93,7 +93,7 @@
         if (due > 0 && !c.running && due != c.asked) {
             c.asked = due;
             c.askedEpoch = h.epoch();
-            attendant.ask("turn " + h.duty(), Op.turn(sessionLease.session(), h.duty(), h.epoch(), due));
+            councilSession.ask("turn " + h.duty(), Op.turn(sessionLease.session(), h.duty(), h.epoch(), due));
         }
     }
 
@@ -105,7 +105,7 @@
         runner.run(c.chore, h.epoch(), turn, sessionLease.until(), outcome -> {
             c.running = false;
             host.log("fleet: " + h.duty() + " turn " + turn + " epoch " + h.epoch() + ": " + outcome);
-            attendant.ask("told " + h.duty(), Op.told(session, h.duty(), h.epoch(), turn, outcome));
+            councilSession.ask("told " + h.duty(), Op.told(session, h.duty(), h.epoch(), turn, outcome));
             look();
         });
     }
--- a/src/main/java/wingroad/fleet/Attendant.java
+++ b/src/main/java/wingroad/fleet/CouncilSession.java
@@ -20,7 +20,7 @@
  * A driver's side of the fleet: its session with the council by way of one voter, and another one when that falls silent.
  * What it asks it asks again with each beat until it sees it settled. Free of I/O; all calls on one thread.
  */
-final class Attendant implements Net.Owner {
+final class CouncilSession implements Net.Owner {
     private static final Duration REFUSED_AGAIN = Duration.ofSeconds(2);
     /** A word that it leaves goes out again so soon; after so many to one voter, to the next. */
     private static final Duration LEAVE_AGAIN = Duration.ofMillis(40);
@@ -84,7 +84,7 @@
      * @param sessionLeases makes the driver's side of a session
      * @param news     hears what owners hand on, past the fence
      */
-    Attendant(Host host, Net net, FleetRules rules, String identity, Supplier<String> runs,
+    CouncilSession(Host host, Net net, FleetRules rules, String identity, Supplier<String> runs,
               Function<String, SessionLease> sessionLeases, Fleet.News news) {
         this.host = host;
         this.net = net;
--- a/src/main/java/wingroad/fleet/Fleet.java
+++ b/src/main/java/wingroad/fleet/Fleet.java
@@ -37,7 +37,7 @@
     private StateFolder folder;
     private Seat seat;
     private Listener door;
-    private Attendant attendant;
+    private CouncilSession councilSession;
     private boolean leaving;
     private String failure = "";
 
@@ -96,8 +96,8 @@
     /** Hands something on to all drivers, if this one owns the duty now. */
     public void publish(String duty, Map<String, Object> what) {
         loop.run(() -> {
-            if (attendant != null) {
-                attendant.publish(duty, what);
+            if (councilSession != null) {
+                councilSession.publish(duty, what);
             }
         });
     }
@@ -105,8 +105,8 @@
     /** What this driver says of itself to whoever plans work. */
     public void report(Report what) {
         loop.run(() -> {
-            if (attendant != null) {
-                attendant.report(what);
+            if (councilSession != null) {
+                councilSession.report(what);
             }
         });
     }
@@ -114,8 +114,8 @@
     /** Proposes the conductor's steps, if this driver still conducts under this epoch. */
     public void order(long epoch, List<Conductor.Step> steps) {
         loop.run(() -> {
-            if (attendant != null) {
-                steps.forEach(x -> attendant.order(epoch, s -> Op.workStep(s, epoch, x.machine(), x.to(), x.stageAt(), x.why())));
+            if (councilSession != null) {
+                steps.forEach(x -> councilSession.order(epoch, s -> Op.workStep(s, epoch, x.machine(), x.to(), x.stageAt(), x.why())));
             }
         });
     }
@@ -123,8 +123,8 @@
     /** Proposes the machines that there are, likewise. */
     public void orderMachines(long epoch, List<String> lines) {
         loop.run(() -> {
-            if (attendant != null) {
-                attendant.order(epoch, s -> Op.workMachines(s, epoch, lines));
+            if (councilSession != null) {
+                councilSession.order(epoch, s -> Op.workMachines(s, epoch, lines));
             }
         });
     }
@@ -149,10 +149,10 @@
                 seat.start();
                 watch();
             }
-            attendant = new Attendant(here, net, rules, identity, names, s -> new SessionLease(rules.lease(), s),
+            councilSession = new CouncilSession(here, net, rules, identity, names, s -> new SessionLease(rules.lease(), s),
                 news);
-            attendant.work(worker);
-            attendant.start(new Chores(here, rules, attendant, runner));
+            councilSession.work(worker);
+            councilSession.start(new Chores(here, rules, councilSession, runner));
             log.accept("fleet: driver " + rules.driver() + " of fleet " + rules.name() + ", " + (rules.listen() == null
                 ? "no voter" : "listens at " + door.at().getHostString() + ":" + door.at().getPort()) + ", lease " + rules.lease().held().toMillis() + " ms, "
                 + rules.duties().size() + " duties");
@@ -196,16 +196,16 @@
             Runnable once = () -> {
                 if (!gone[0]) {
                     gone[0] = true;
-                    if (attendant != null) {
-                        attendant.stop();
+                    if (councilSession != null) {
+                        councilSession.stop();
                     }
                     then.run();
                 }
             };
-            if (attendant == null) {
+            if (councilSession == null) {
                 once.run();
             } else {
-                attendant.leave(once);
+                councilSession.leave(once);
                 loop.after(LEAVE_WITHIN, once);
             }
         });
--- a/src/test/java/wingroad/fleet/SimFleet.java
+++ b/src/test/java/wingroad/fleet/SimFleet.java
@@ -126,7 +126,7 @@
         private final long offset = random.nextInt(1_000_000_000);
         private final ArrayDeque<Runnable> waiting = new ArrayDeque<>();
         Seat seat;
-        Attendant attendant;
+        CouncilSession councilSession;
         Chores work;
 
         Proc(String name) {
@@ -155,13 +155,13 @@
             }
             Function<String, SessionLease> sessionLeases = wrong == Wrong.LEASE_FROM_ANSWER ? s -> new FromAnswer(rules.lease(), s)
                 : s -> new SessionLease(rules.lease(), s);
-            attendant = new Attendant(this, net, rules, identity, () -> Long.toHexString(random.nextLong()), sessionLeases,
+            councilSession = new CouncilSession(this, net, rules, identity, () -> Long.toHexString(random.nextLong()), sessionLeases,
                 (epoch, what) -> { });
-            work = new Chores(this, rules, attendant, this::effect);
+            work = new Chores(this, rules, councilSession, this::effect);
             if (SimFleet.this.work != null) {
-                attendant.work(SimFleet.this.work.desk(this));
+                councilSession.work(SimFleet.this.work.desk(this));
             }
-            attendant.start(work);
+            councilSession.start(work);
         }
 
         private ConsensusStore store() throws IOException {
@@ -580,8 +580,8 @@
         for (FleetRules.Chore c : chores) {
             String one = null;
             for (Proc p : procs.values()) {
-                if (p.alive && p.attendant != null) {
-                    SessionLease t = p.attendant.sessionLease();
+                if (p.alive && p.councilSession != null) {
+                    SessionLease t = p.councilSession.sessionLease();
                     SessionLease.Held h = t.known(c.duty());
                     if (h != null && t.mayAct(c.duty(), h.epoch(), p.now())) {
                         if (one != null) {
--- a/src/test/java/wingroad/fleet/SimFleetTest.java
+++ b/src/test/java/wingroad/fleet/SimFleetTest.java
@@ -104,12 +104,12 @@
             f.procs.values().forEach(SimFleet.Proc::start);
             f.play(10_000);
             SimFleet.Proc leaver = f.procs.values().stream().filter(p -> p.seat == null && f.owners().values().stream().anyMatch(o ->
-                o.startsWith(p.name + "/")) && !f.procs.get(p.attendant.by()).seat.leads()).findFirst().orElse(null);
+                o.startsWith(p.name + "/")) && !f.procs.get(p.councilSession.by()).seat.leads()).findFirst().orElse(null);
             if (leaver == null) {
                 continue;
             }
-            f.procs.get(leaver.attendant.by()).paused = true;
-            leaver.task(f.now, () -> leaver.attendant.leave(() -> { }));
+            f.procs.get(leaver.councilSession.by()).paused = true;
+            leaver.task(f.now, () -> leaver.councilSession.leave(() -> { }));
             f.play(450);
             assertThat(f.owners().values()).as("seed " + seed).noneMatch(o -> o.startsWith(leaver.name + "/") || o.isEmpty());
         }
--- a/src/test/java/wingroad/fleet/SimWork.java
+++ b/src/test/java/wingroad/fleet/SimWork.java
@@ -266,7 +266,7 @@
                     }
                 }
             }
-            proc.attendant.report(new Report(knows, clear, believes, served, harmed, Map.of()));
+            proc.councilSession.report(new Report(knows, clear, believes, served, harmed, Map.of()));
         }
 
         private void look() {
@@ -280,7 +280,7 @@
                     conducts = epoch;
                 }
                 if (!picture.lines().equals(rules.lines())) {
-                    proc.attendant.order(epoch, s -> Op.workMachines(s, epoch, rules.lines()));
+                    proc.councilSession.order(epoch, s -> Op.workMachines(s, epoch, rules.lines()));
                 } else {
                     members.values().forEach(m -> {
                         if (m.up && !fleet.held.contains("member>" + proc.name)) {
@@ -291,11 +291,11 @@
                     });
                     long mine = epoch;
                     for (Conductor.Step x : conductor.next(picture, sight, proc.wall(), now)) {
-                        Runnable order = () -> proc.attendant.order(mine, s -> Op.workStep(s, mine, x.machine(), x.to(), x.stageAt(),
+                        Runnable order = () -> proc.councilSession.order(mine, s -> Op.workStep(s, mine, x.machine(), x.to(), x.stageAt(),
                             x.why()));
                         if (random.nextInt(4) == 0) {
                             // As one that is held up on its way, or wakes up late and does not look at its lease again.
-                            String session = proc.attendant.sessionLease().session();
+                            String session = proc.councilSession.sessionLease().session();
                             fleet.at(fleet.now + random.nextInt(8_000) * 1_000_000L, () -> late(Op.workStep(session, mine, x.machine(),
                                 x.to(), x.stageAt(), x.why())));
                         }
