--- a/src/bench/java/wingroad/fleet/WorkSim.java
+++ b/src/bench/java/wingroad/fleet/WorkSim.java
@@ -34,8 +34,8 @@
             SimFleet f = play(Long.parseLong(args[0]), Wrong.NONE);
             System.out.println(String.join("\n", f.lines));
             f.procs.values().forEach(p -> System.out.println(p.name + (p.alive ? "" : " dead") + (p.paused ? " paused" : "")
-                + (p.seat == null ? "" : " " + p.seat.status().get("phase") + " term " + p.seat.status().get("term") + " leader "
-                + p.seat.status().get("leader") + " revision " + p.seat.register().revision())));
+                + (p.consensusNode == null ? "" : " " + p.consensusNode.status().get("phase") + " term " + p.consensusNode.status().get("term") + " leader "
+                + p.consensusNode.status().get("leader") + " revision " + p.consensusNode.register().revision())));
             return;
         }
         long from = Long.parseLong(args[0]);
--- a/src/main/java/wingroad/fleet/Seat.java
+++ b/src/main/java/wingroad/fleet/ConsensusNode.java
@@ -47,7 +47,7 @@
  * A voter: its part in the agreed log, the state that follows from it, and the drivers that are attached to it. Free of
  * I/O; all calls on one thread.
  */
-final class Seat {
+final class ConsensusNode {
     /**
      * In the engine's time, which knows whole seconds alone: one of them is the {@link #ENGINE_SECONDS}th part of a lease, so
      * that a leader is missed after a third of a lease and another one leads well before all leases have run out.
@@ -108,12 +108,12 @@
     private String led = "";
 
     /** @param reader reads the voter's state anew, once the former one is closed */
-    Seat(Host host, Net net, FleetRules rules, Reader reader, long seed) throws IOException {
+    ConsensusNode(Host host, Net net, FleetRules rules, Reader reader, long seed) throws IOException {
         this(host, net, rules, reader, seed, Register::new);
     }
 
     /** @param registers makes the state that follows from the log, from the council's first epoch */
-    Seat(Host host, Net net, FleetRules rules, Reader reader, long seed, LongFunction<Register> registers) throws IOException {
+    ConsensusNode(Host host, Net net, FleetRules rules, Reader reader, long seed, LongFunction<Register> registers) throws IOException {
         this.registers = registers;
         this.host = host;
         this.net = net;
@@ -985,7 +985,7 @@
                 return "this voter takes no part now";
             }
             List<String> now = node.getCommittedMembers().getMembers().stream().map(e -> ((Endpoint) e).name()).toList();
-            boolean settled = now.stream().allMatch(Seat.this::votes) && register.voters().entrySet().stream()
+            boolean settled = now.stream().allMatch(ConsensusNode.this::votes) && register.voters().entrySet().stream()
                 .allMatch(c -> c.getValue().isEmpty() || now.contains(c.getKey()))
                 && node.getEffectiveMembers().getLogIndex() == node.getCommittedMembers().getLogIndex();
             if (!settled && !register.voters().getOrDefault(op.to(), "-").equals(op.duty())) {
--- a/src/main/java/wingroad/fleet/CouncilSession.java
+++ b/src/main/java/wingroad/fleet/CouncilSession.java
@@ -95,7 +95,7 @@
         this.news = news;
         addresses.putAll(rules.voters());
         order.addAll(addresses.keySet());
-        // Its own seat first; else spread over the voters by name.
+        // Its own voter first; else spread over the voters by name.
         order.sort(Comparator.<String>comparingInt(v -> v.equals(rules.driver()) ? 0 : 1)
             .thenComparing(v -> (v + '/' + rules.driver()).hashCode()));
         sessionLease = sessionLeases.apply(rules.driver() + "/" + runs.get());
--- a/src/main/java/wingroad/fleet/Fleet.java
+++ b/src/main/java/wingroad/fleet/Fleet.java
@@ -15,7 +15,7 @@
 import wingroad.work.Report;
 
 /**
- * A driver's part in the fleet, on a thread of its own: the voter's seat where it has one, its session, its duties. What goes
+ * A driver's part in the fleet, on a thread of its own: the voter's consensus node where it has one, its session, its duties. What goes
  * wrong here is told and tried again; serving clients never waits for it.
  */
 public final class Fleet {
@@ -35,7 +35,7 @@
     private final SecureRandom random = new SecureRandom();
     private final Supplier<String> names = () -> Long.toHexString(random.nextLong());
     private StateFolder folder;
-    private Seat seat;
+    private ConsensusNode consensusNode;
     private Listener door;
     private CouncilSession councilSession;
     private boolean leaving;
@@ -144,9 +144,9 @@
             }
             String identity = folder.identity();
             if (rules.listen() != null) {
-                seat = new Seat(here, net, rules, folder::store, random.nextLong());
-                door = net.listen(LoopNet.address(rules.listen()), () -> seat.guest());
-                seat.start();
+                consensusNode = new ConsensusNode(here, net, rules, folder::store, random.nextLong());
+                door = net.listen(LoopNet.address(rules.listen()), () -> consensusNode.guest());
+                consensusNode.start();
                 watch();
             }
             councilSession = new CouncilSession(here, net, rules, identity, names, s -> new SessionLease(rules.lease(), s),
@@ -161,9 +161,9 @@
                 failure = e.toString();
                 log.accept("fleet: can't begin, tries again: " + e.getMessage());
             }
-            if (seat != null) {
-                seat.stop();
-                seat = null;
+            if (consensusNode != null) {
+                consensusNode.stop();
+                consensusNode = null;
             }
             if (door != null) {
                 door.close();
@@ -175,9 +175,9 @@
 
     /** A voter whose state could not be written reads it again, once that works. */
     private void watch() {
-        if (seat != null && seat.phase() == Seat.Phase.BROKEN && !leaving) {
+        if (consensusNode != null && consensusNode.phase() == ConsensusNode.Phase.BROKEN && !leaving) {
             try {
-                seat.resume();
+                consensusNode.resume();
             } catch (IOException e) {
                 // Still not: it goes on being no voter.
             }
@@ -217,8 +217,8 @@
             if (door != null) {
                 door.close();
             }
-            if (seat != null) {
-                seat.stop();
+            if (consensusNode != null) {
+                consensusNode.stop();
             }
             if (folder != null) {
                 folder.close();
--- a/src/test/java/wingroad/fleet/SimFleet.java
+++ b/src/test/java/wingroad/fleet/SimFleet.java
@@ -125,7 +125,7 @@
         final double rate = 1 + (random.nextDouble() * 2 - 1) * DRIFT;
         private final long offset = random.nextInt(1_000_000_000);
         private final ArrayDeque<Runnable> waiting = new ArrayDeque<>();
-        Seat seat;
+        ConsensusNode consensusNode;
         CouncilSession councilSession;
         Chores work;
 
@@ -142,15 +142,15 @@
             FleetRules rules = new FleetRules("f", name, voters.get(name), reach, Path.of("."), new Lease(LEASE, DRIFT),
                 chores, null, SimFleet.this.work == null ? null : SimFleet.this.work.rules);
             Net net = (address, owner) -> open(this, address, owner);
-            seat = null;
+            consensusNode = null;
             if (voters.containsKey(name)) {
                 try {
-                    seat = SimFleet.this.work == null ? new Seat(this, net, rules, this::store, random.nextLong())
-                        : new Seat(this, net, rules, this::store, random.nextLong(), SimFleet.this.work::register);
+                    consensusNode = SimFleet.this.work == null ? new ConsensusNode(this, net, rules, this::store, random.nextLong())
+                        : new ConsensusNode(this, net, rules, this::store, random.nextLong(), SimFleet.this.work::register);
                 } catch (IOException e) {
                     throw new UncheckedIOException(e);
                 }
-                seat.start();
+                consensusNode.start();
                 after(Duration.ofSeconds(2), this::watch);
             }
             Function<String, SessionLease> sessionLeases = wrong == Wrong.LEASE_FROM_ANSWER ? s -> new FromAnswer(rules.lease(), s)
@@ -171,7 +171,7 @@
 
         /** As the program's own: a voter whose state could not be written reads it again, once that works. */
         private void watch() {
-            if (seat.phase() == Seat.Phase.BROKEN && !rows.full) {
+            if (consensusNode.phase() == ConsensusNode.Phase.BROKEN && !rows.full) {
                 readAgain();
             }
             after(Duration.ofSeconds(2), this::watch);
@@ -179,7 +179,7 @@
 
         void readAgain() {
             try {
-                seat.resume();
+                consensusNode.resume();
             } catch (IOException e) {
                 throw new UncheckedIOException(e);
             }
@@ -381,11 +381,11 @@
             near = new End(from, owner, this);
             near.send0(() -> {
                 Proc p = procs.get(to);
-                if (p == null || !p.alive || p.seat == null) {
+                if (p == null || !p.alive || p.consensusNode == null) {
                     from.task(now + 300_000, () -> near.ends("refused"));
                     return;
                 }
-                far = new End(p, p.seat.guest(), this);
+                far = new End(p, p.consensusNode.guest(), this);
                 p.task(now, () -> far.owner.up(far));
                 far.send0(() -> from.task(now, () -> {
                     if (open) {
@@ -529,7 +529,7 @@
     void voteAndStartAgain() {
         procs.values().forEach(Proc::start);
         play(8000);
-        Proc leader = procs.values().stream().filter(p -> p.seat != null && p.seat.leads()).findFirst().orElseThrow();
+        Proc leader = procs.values().stream().filter(p -> p.consensusNode != null && p.consensusNode.leads()).findFirst().orElseThrow();
         leader.kill();
         onVote = (voter, candidate) -> {
             onVote = null;
@@ -597,10 +597,10 @@
     /** Who owns each duty by the word of a voter that takes part and is the furthest. */
     Map<String, String> owners() {
         Map<String, String> owners = new TreeMap<>();
-        Seat best = null;
+        ConsensusNode best = null;
         for (Proc p : procs.values()) {
-            if (p.alive && p.seat != null && (best == null || p.seat.register().revision() > best.register().revision())) {
-                best = p.seat;
+            if (p.alive && p.consensusNode != null && (best == null || p.consensusNode.register().revision() > best.register().revision())) {
+                best = p.consensusNode;
             }
         }
         if (best != null) {
@@ -651,7 +651,7 @@
     }
 
     private int lostNow() {
-        return (int) procs.values().stream().filter(p -> p.seat != null && !p.alive).count();
+        return (int) procs.values().stream().filter(p -> p.consensusNode != null && !p.alive).count();
     }
 
     private void fault() {
@@ -660,7 +660,7 @@
         switch (random.nextInt(13)) {
             case 12 -> {
                 // Its disk is full for a while.
-                if (p.seat != null && p.alive) {
+                if (p.consensusNode != null && p.alive) {
                     p.rows.full = true;
                     MemoryRowStore full = p.rows;
                     at(now + 3_000_000_000L, () -> full.full = false);
@@ -697,7 +697,7 @@
             case 8 -> hold("member", p.name);
             case 9 -> {
                 // Voters lose their state one at a time, and only while the rest are there: more is more than it bears.
-                if (p.seat != null && lostNow() == 0 && p.alive && allIn()) {
+                if (p.consensusNode != null && lostNow() == 0 && p.alive && allIn()) {
                     p.kill();
                     p.loseState();
                     at(now + 1_000_000_000L, () -> {
@@ -713,9 +713,9 @@
 
     private boolean allIn() {
         // One that has been let in and is not settled yet does not count: its loss and another one's are two.
-        boolean settled = procs.values().stream().anyMatch(p -> p.alive && p.seat != null && p.seat.leads()
-            && ((List<?>) p.seat.status().get("voters")).size() == voters.size());
-        return settled && voters.keySet().stream().allMatch(v -> procs.get(v).alive && procs.get(v).seat != null
-            && procs.get(v).seat.phase() == Seat.Phase.IN);
+        boolean settled = procs.values().stream().anyMatch(p -> p.alive && p.consensusNode != null && p.consensusNode.leads()
+            && ((List<?>) p.consensusNode.status().get("voters")).size() == voters.size());
+        return settled && voters.keySet().stream().allMatch(v -> procs.get(v).alive && procs.get(v).consensusNode != null
+            && procs.get(v).consensusNode.phase() == ConsensusNode.Phase.IN);
     }
 }
--- a/src/test/java/wingroad/fleet/SimFleetTest.java
+++ b/src/test/java/wingroad/fleet/SimFleetTest.java
@@ -74,14 +74,14 @@
             SimFleet f = new SimFleet(seed, 3, 3, 2, Wrong.NONE);
             f.procs.values().forEach(SimFleet.Proc::start);
             f.play(8000);
-            SimFleet.Proc leader = f.procs.values().stream().filter(p -> p.seat.leads()).findFirst().orElseThrow();
+            SimFleet.Proc leader = f.procs.values().stream().filter(p -> p.consensusNode.leads()).findFirst().orElseThrow();
             List<SimFleet.Proc> others = f.procs.values().stream().filter(p -> p != leader).toList();
             SimFleet.Proc polls = others.get(0);
             f.hold(leader.name, polls.name);
             f.play(2200);
             f.heal();
             f.play(3000);
-            assertThat(leader.seat.leads()).as("seed " + seed + ": it leads on").isTrue();
+            assertThat(leader.consensusNode.leads()).as("seed " + seed + ": it leads on").isTrue();
             f.hold(leader.name, others.get(1).name);
             f.play(700);
             leader.kill();
@@ -89,7 +89,7 @@
             boolean another = false;
             for (int ms = 0; ms < 12_000 && !another; ms += 100) {
                 f.play(100);
-                another = others.stream().anyMatch(p -> p.seat.leads());
+                another = others.stream().anyMatch(p -> p.consensusNode.leads());
             }
             assertThat(another).as("seed " + seed + ": another leads").isTrue();
             assertThat(f.broken).isEmpty();
@@ -103,8 +103,8 @@
             SimFleet f = new SimFleet(seed, 6, 3, 12, Duration.ofSeconds(60), Wrong.NONE);
             f.procs.values().forEach(SimFleet.Proc::start);
             f.play(10_000);
-            SimFleet.Proc leaver = f.procs.values().stream().filter(p -> p.seat == null && f.owners().values().stream().anyMatch(o ->
-                o.startsWith(p.name + "/")) && !f.procs.get(p.councilSession.by()).seat.leads()).findFirst().orElse(null);
+            SimFleet.Proc leaver = f.procs.values().stream().filter(p -> p.consensusNode == null && f.owners().values().stream().anyMatch(o ->
+                o.startsWith(p.name + "/")) && !f.procs.get(p.councilSession.by()).consensusNode.leads()).findFirst().orElse(null);
             if (leaver == null) {
                 continue;
             }
--- a/src/test/java/wingroad/fleet/SimWork.java
+++ b/src/test/java/wingroad/fleet/SimWork.java
@@ -343,8 +343,8 @@
     }
 
     private void late(Op op) {
-        fleet.procs.values().stream().filter(p -> p.alive && p.seat != null && p.seat.leads()).findFirst().ifPresent(p ->
-            p.task(fleet.now, () -> p.seat.inject(op)));
+        fleet.procs.values().stream().filter(p -> p.alive && p.consensusNode != null && p.consensusNode.leads()).findFirst().ifPresent(p ->
+            p.task(fleet.now, () -> p.consensusNode.inject(op)));
     }
 
     // ---- operators and members ----
@@ -379,7 +379,7 @@
 
     /** An operator knows of a process that has ended for good, with its state: there is another one of its name now. */
     private void tellGone() {
-        fleet.procs.values().stream().filter(p -> p.alive && p.seat != null).forEach(p -> p.seat.register().plan().astray()
+        fleet.procs.values().stream().filter(p -> p.alive && p.consensusNode != null).forEach(p -> p.consensusNode.register().plan().astray()
             .forEach(a -> {
                 if (!fleet.procs.get(a.name()).identity.equals(a.identity())) {
                     operator(Op.workWord("gone", a.known(), "gone " + asked++));
@@ -417,10 +417,10 @@
     }
 
     private void operator(Op op) {
-        List<Proc> voters = fleet.procs.values().stream().filter(p -> p.alive && !p.paused && p.seat != null).toList();
+        List<Proc> voters = fleet.procs.values().stream().filter(p -> p.alive && !p.paused && p.consensusNode != null).toList();
         if (!voters.isEmpty()) {
             Proc p = voters.get(random.nextInt(voters.size()));
-            p.task(fleet.now, () -> p.seat.inject(op.at(p.wall())));
+            p.task(fleet.now, () -> p.consensusNode.inject(op.at(p.wall())));
         }
     }
 
@@ -437,8 +437,8 @@
 
     void end() {
         if (!settled.isEmpty()) {
-            String waits = fleet.procs.values().stream().filter(p -> p.alive && p.seat != null && p.seat.register().revision()
-                == furthest).findFirst().map(p -> p.seat.register().plan()).map(p -> p.entries().stream().map(e -> e.machine() + " "
+            String waits = fleet.procs.values().stream().filter(p -> p.alive && p.consensusNode != null && p.consensusNode.register().revision()
+                == furthest).findFirst().map(p -> p.consensusNode.register().plan()).map(p -> p.entries().stream().map(e -> e.machine() + " "
                 + e.stage() + " waits " + p.waitsFor(e)).toList().toString()).orElse("");
             fleet.breaks("left on the way at the end: " + settled + " " + waits);
         }
--- a/src/test/java/wingroad/work/WorkIT.java
+++ b/src/test/java/wingroad/work/WorkIT.java
@@ -235,7 +235,7 @@
         Rig.Driver first = conductor();
         BlockingQueue<Object> held = new LinkedBlockingQueue<>();
         for (String v : rig.voters()) {
-            // Its own seat is reached by a link as well: what it says goes through the rig in any case.
+            // Its own voter is reached by a link as well: what it says goes through the rig in any case.
             rig.relays.between(first.name, v).tap((link, way, bytes, connection) -> {
                 String text = StandardCharsets.ISO_8859_1.decode(bytes).toString();
                 return way == Relays.Way.FORTH && text.contains("WORK_STEP") && text.contains("OUT") && held.isEmpty()
