--- a/src/main/java/wingroad/driver/WorkDesk.java
+++ b/src/main/java/wingroad/driver/WorkDesk.java
@@ -21,8 +21,8 @@
 import wingroad.transport.EventLoop;
 import wingroad.work.Conductor;
 import wingroad.work.Machine;
-import wingroad.work.Picture;
 import wingroad.work.Plan;
+import wingroad.work.PlanCopy;
 import wingroad.work.Report;
 import wingroad.work.Sight;
 import wingroad.work.Stage;
@@ -49,7 +49,7 @@
     private final Duration look;
     private final Duration askEvery;
     private final View view;
-    private final Picture picture = new Picture();
+    private final PlanCopy planCopy = new PlanCopy();
     private final Sight sight;
     /** Discovery's list as it is known, and what the module was told last of each member. */
     private final Map<String, Entry> listed = new TreeMap<>();
@@ -172,8 +172,8 @@
     /** Whether its group has another listed member that no plan concerns. */
     private boolean others(Entry e) {
         return listed.values().stream().anyMatch(o -> o.group() == e.group() && !o.uid().equals(e.uid()) && !o.draining()
-            && (view.picture() == null || view.picture().holder(o.uid()) == null
-            || view.picture().entry(view.picture().holder(o.uid()).name()) == null));
+            && (view.planCopy() == null || view.planCopy().holder(o.uid()) == null
+            || view.planCopy().entry(view.planCopy().holder(o.uid()).name()) == null));
     }
 
     /** Tells the module what has become of members by the plan or by the end of this driver's view. */
@@ -194,7 +194,7 @@
         boolean current = view.current(now);
         if (current != wasCurrent) {
             wasCurrent = current;
-            log.accept(current ? "work: the plan is known, revision " + view.revision() + ", " + view.picture().entries().size()
+            log.accept(current ? "work: the plan is known, revision " + view.revision() + ", " + view.planCopy().entries().size()
                 + " machines asked for" : "work: the view of the plan has ended at revision " + view.revision() + ": "
                 + stages.values().stream().filter(Stage::announced).count() + " announced machines are left alone");
         }
@@ -261,12 +261,12 @@
     @Override
     public void plan(Map<String, Object> news, List<?> sums, List<?> live) {
         loop.run(() -> {
-            boolean grown = picture.news(news);
+            boolean grown = planCopy.news(news);
             if (sums != null) {
-                picture.fleet(sums, live);
+                planCopy.fleet(sums, live);
             }
-            if (grown || view.picture() == null) {
-                view.told(picture, now());
+            if (grown || view.planCopy() == null) {
+                view.told(planCopy, now());
                 tellStages();
                 relist();
                 report();
@@ -276,14 +276,14 @@
 
     private void tellStages() {
         Map<String, Stage> now = new LinkedHashMap<>();
-        picture.entries().forEach(e -> now.put(e.machine(), e.stage()));
+        planCopy.entries().forEach(e -> now.put(e.machine(), e.stage()));
         now.forEach((m, s) -> {
             if (stages.get(m) != s) {
-                log.accept("work: " + m + " " + s.name().toLowerCase(java.util.Locale.ROOT) + ", revision " + picture.revision());
+                log.accept("work: " + m + " " + s.name().toLowerCase(java.util.Locale.ROOT) + ", revision " + planCopy.revision());
             }
         });
         stages.keySet().stream().filter(m -> !now.containsKey(m)).forEach(m -> log.accept("work: " + m
-            + " in, or no more asked for, revision " + picture.revision()));
+            + " in, or no more asked for, revision " + planCopy.revision()));
         stages.clear();
         stages.putAll(now);
     }
@@ -324,7 +324,7 @@
         Map<Integer, Long> use = new TreeMap<>();
         if (view.current(now)) {
             for (Map.Entry<String, Duration> l : leftSince.entrySet()) {
-                Machine m = picture.machines().get(l.getKey());
+                Machine m = planCopy.machines().get(l.getKey());
                 if (m != null && now.minus(l.getValue()).compareTo(rules.grace()) > 0 && !members.busy(m::holds)) {
                     clear.add(l.getKey());
                 }
@@ -343,8 +343,8 @@
     /** The groups that have a member on a machine that is announced. */
     private Set<Integer> touched() {
         Set<Integer> groups = new TreeSet<>();
-        for (Plan.Entry e : picture.entries()) {
-            Machine m = e.stage().announced() ? picture.machines().get(e.machine()) : null;
+        for (Plan.Entry e : planCopy.entries()) {
+            Machine m = e.stage().announced() ? planCopy.machines().get(e.machine()) : null;
             if (m != null) {
                 groups.addAll(m.groups());
             }
@@ -362,13 +362,13 @@
         if (conductor == null || conducts != epoch) {
             conductor = new Conductor(rules, voters);
             conducts = epoch;
-            log.accept("work: conducts under epoch " + epoch + ", " + picture.entries().size() + " machines asked for");
+            log.accept("work: conducts under epoch " + epoch + ", " + planCopy.entries().size() + " machines asked for");
         }
-        if (!Objects.equals(picture.lines(), rules.lines())) {
+        if (!Objects.equals(planCopy.lines(), rules.lines())) {
             fleet.orderMachines(epoch, rules.lines());
             return;
         }
-        List<Conductor.Step> steps = conductor.next(picture, sight, System.currentTimeMillis(), now());
+        List<Conductor.Step> steps = conductor.next(planCopy, sight, System.currentTimeMillis(), now());
         askMembers();
         conductor.pages().forEach((m, text) -> log.accept("work: " + m + " " + text));
         if (!steps.isEmpty()) {
@@ -379,7 +379,7 @@
     /** A conductor with few txns of its own sees little: it asks the members of the groups concerned itself. */
     private void askMembers() {
         Duration now = now();
-        Set<Integer> groups = conductor.groups(picture);
+        Set<Integer> groups = conductor.groups(planCopy);
         askedAt.keySet().retainAll(listed.keySet());
         for (Entry e : listed.values()) {
             Duration at = askedAt.get(e.uid());
--- a/src/main/java/wingroad/work/Conductor.java
+++ b/src/main/java/wingroad/work/Conductor.java
@@ -73,14 +73,14 @@
     }
 
     /** The groups whose members have to be seen for the next look. */
-    public Set<Integer> groups(Picture plan) {
+    public Set<Integer> groups(PlanCopy plan) {
         Set<Integer> all = new TreeSet<>();
         looked.stream().map(m -> plan.machines().get(m)).filter(m -> m != null).forEach(m -> all.addAll(m.groups()));
         return all;
     }
 
     /** The steps that are next; asked again and again until they are seen settled. */
-    public List<Step> next(Picture plan, Sight sight, long wall, Duration now) {
+    public List<Step> next(PlanCopy plan, Sight sight, long wall, Duration now) {
         List<Step> steps = new ArrayList<>();
         List<Plan.Entry> all = new ArrayList<>(plan.entries());
         chosen.clear();
@@ -129,7 +129,7 @@
     }
 
     /** How many txns are at members of each group at a time, from the fleet's sums. */
-    private void uses(Picture plan, Duration now) {
+    private void uses(PlanCopy plan, Duration now) {
         if (busyAt != null && now.minus(busyAt).compareTo(rules.watch().dividedBy(4)) < 0) {
             return;
         }
@@ -147,7 +147,7 @@
         use.keySet().retainAll(plan.busy().keySet());
     }
 
-    private void planned(Plan.Entry e, Machine m, Picture plan, Sight sight, long wall, Duration now, List<Step> steps) {
+    private void planned(Plan.Entry e, Machine m, PlanCopy plan, Sight sight, long wall, Duration now, List<Step> steps) {
         Duration since = plannedSince.computeIfAbsent(e.machine, k -> now);
         soon(e, wall, steps);
         if (!e.known) {
@@ -167,7 +167,7 @@
     }
 
     /** Why a machine can't be spared now, or empty. */
-    private String whyNotDrain(Plan.Entry e, Machine m, Picture plan, Sight sight, Duration now) {
+    private String whyNotDrain(Plan.Entry e, Machine m, PlanCopy plan, Sight sight, Duration now) {
         if (!pace.calm(now) || outAt != null && now.minus(outAt).compareTo(rules.watch()) < 0) {
             return "watches for harm: " + part(pace.part()) + " of the txns, before " + part(pace.before());
         }
@@ -330,7 +330,7 @@
     }
 
     /** Announces what may go next: as much together as the limits let. */
-    private void begin(List<Plan.Entry> all, Picture plan, Sight sight, Duration now, List<Step> steps) {
+    private void begin(List<Plan.Entry> all, PlanCopy plan, Sight sight, Duration now, List<Step> steps) {
         List<Plan.Entry> away = new ArrayList<>(all.stream().filter(e -> e.stage.announced()).toList());
         List<Plan.Entry> waiting = new ArrayList<>(all.stream().filter(e -> e.stage == Stage.ASKED && !e.held
             && !restUntil.containsKey(e.machine) && plan.machines().containsKey(e.machine)).toList());
@@ -365,7 +365,7 @@
         }
     }
 
-    private int limit(Picture plan) {
+    private int limit(PlanCopy plan) {
         return plan.lines().isEmpty() ? 1 : Integer.parseInt(plan.lines().get(0).split(" ")[0]);
     }
 
--- a/src/main/java/wingroad/work/Picture.java
+++ b/src/main/java/wingroad/work/PlanCopy.java
@@ -9,7 +9,7 @@
 import java.util.TreeSet;
 
 /** A driver's copy of what is settled of the plan, kept by the news that its voter sends. */
-public final class Picture {
+public final class PlanCopy {
     private final TreeMap<String, Machine> machines = new TreeMap<>();
     private final TreeMap<String, Plan.Entry> entries = new TreeMap<>();
     private Holders holders = new Holders(List.of());
--- a/src/main/java/wingroad/work/View.java
+++ b/src/main/java/wingroad/work/View.java
@@ -20,7 +20,7 @@
     private final Duration began;
     private final Duration patience;
     private final Holders own;
-    private Picture picture;
+    private PlanCopy planCopy;
     private Duration until = Duration.ZERO;
     private boolean over = true;
     /**
@@ -43,8 +43,8 @@
     }
 
     /** The plan as it is settled. */
-    public void told(Picture plan, Duration now) {
-        picture = plan;
+    public void told(PlanCopy plan, Duration now) {
+        planCopy = plan;
         returning.keySet().removeIf(m -> plan.entry(m) == null || plan.entry(m).stage != Stage.RETURNING);
         plan.entries().stream().filter(e -> e.stage == Stage.RETURNING).forEach(e -> returning.putIfAbsent(e.machine, now));
     }
@@ -53,7 +53,7 @@
     public void leased(Duration ends) {
         until = ends;
         over = false;
-        learned |= picture != null;
+        learned |= planCopy != null;
     }
 
     /** Nothing is renewed any more: the session is left or has been ended. */
@@ -89,8 +89,8 @@
             boolean waits = rules.lost() != WorkRules.Lost.SERVE || now.compareTo(began.plus(patience)) < 0;
             return planned && waits ? State.GONE : State.AS_LISTED;
         }
-        Machine m = picture.holder(uid);
-        Plan.Entry e = m == null ? null : picture.entry(m.name());
+        Machine m = planCopy.holder(uid);
+        Plan.Entry e = m == null ? null : planCopy.entry(m.name());
         if (m == null) {
             return State.AS_LISTED;
         }
@@ -112,22 +112,22 @@
 
     /** Since when a machine that returns has been known to; for a member that counts as cold. */
     public Duration returningSince(String uid) {
-        Machine m = picture == null ? null : picture.holder(uid);
+        Machine m = planCopy == null ? null : planCopy.holder(uid);
         return m == null ? null : returning.get(m.name());
     }
 
     /** The machines at which this driver must have nothing. */
     public Collection<Plan.Entry> leaving() {
-        return picture == null ? java.util.List.of() : picture.entries().stream().filter(e -> e.stage == Stage.DRAINING
+        return planCopy == null ? java.util.List.of() : planCopy.entries().stream().filter(e -> e.stage == Stage.DRAINING
             || e.stage == Stage.OUT).toList();
     }
 
     /** The plan's revision that counts here, or 0. */
     public long revision() {
-        return !learned ? 0 : Math.max(0, picture.revision());
+        return !learned ? 0 : Math.max(0, planCopy.revision());
     }
 
-    public Picture picture() {
-        return picture;
+    public PlanCopy planCopy() {
+        return planCopy;
     }
 }
--- a/src/test/java/wingroad/fleet/SimWork.java
+++ b/src/test/java/wingroad/fleet/SimWork.java
@@ -16,8 +16,8 @@
 import wingroad.fleet.SimFleet.Wrong;
 import wingroad.work.Conductor;
 import wingroad.work.Machine;
-import wingroad.work.Picture;
 import wingroad.work.Plan;
+import wingroad.work.PlanCopy;
 import wingroad.work.Report;
 import wingroad.work.Sight;
 import wingroad.work.Stage;
@@ -189,7 +189,7 @@
     private final class Desk implements Worker {
         private final Proc proc;
         private final View view;
-        private final Picture picture = new Picture();
+        private final PlanCopy planCopy = new PlanCopy();
         private final Sight sight = new Sight(SimFleet.LEASE);
         private final Map<String, Integer> open = new HashMap<>();
         private final Map<String, Duration> leftSince = new HashMap<>();
@@ -209,11 +209,11 @@
 
         @Override
         public void plan(Map<String, Object> news, List<?> sums, List<?> live) {
-            picture.news(news);
+            planCopy.news(news);
             if (sums != null) {
-                picture.fleet(sums, live);
+                planCopy.fleet(sums, live);
             }
-            view.told(picture, proc.now());
+            view.told(planCopy, proc.now());
             follow();
         }
 
@@ -258,8 +258,8 @@
                     }
                 });
             }
-            for (Plan.Entry e : picture.entries()) {
-                for (int g : e.stage().announced() ? picture.machines().get(e.machine()).groups() : Set.<Integer>of()) {
+            for (Plan.Entry e : planCopy.entries()) {
+                for (int g : e.stage().announced() ? planCopy.machines().get(e.machine()).groups() : Set.<Integer>of()) {
                     String primary = sight.primary(g, proc.now());
                     if (primary != null) {
                         believes.put(g, primary);
@@ -279,7 +279,7 @@
                     conductor = new Conductor(rules, fleet.voters.keySet());
                     conducts = epoch;
                 }
-                if (!picture.lines().equals(rules.lines())) {
+                if (!planCopy.lines().equals(rules.lines())) {
                     proc.councilSession.order(epoch, s -> Op.workMachines(s, epoch, rules.lines()));
                 } else {
                     members.values().forEach(m -> {
@@ -290,7 +290,7 @@
                         }
                     });
                     long mine = epoch;
-                    for (Conductor.Step x : conductor.next(picture, sight, proc.wall(), now)) {
+                    for (Conductor.Step x : conductor.next(planCopy, sight, proc.wall(), now)) {
                         Runnable order = () -> proc.councilSession.order(mine, s -> Op.workStep(s, mine, x.machine(), x.to(), x.stageAt(),
                             x.why()));
                         if (random.nextInt(4) == 0) {
--- a/src/test/java/wingroad/work/ConductorTest.java
+++ b/src/test/java/wingroad/work/ConductorTest.java
@@ -14,7 +14,7 @@
 class ConductorTest {
     private final WorkRules rules = rules(2, 0);
     private final Plan plan = new Plan();
-    private final Picture picture = new Picture();
+    private final PlanCopy planCopy = new PlanCopy();
     private final Sight sight = new Sight(Duration.ofSeconds(3));
     private Conductor conductor = new Conductor(rules, List.of("d1", "d2", "d3"));
     private Duration now = Duration.ofSeconds(100);
@@ -68,10 +68,10 @@
             Map<Integer, String> believes = Map.of(1, primary);
             plan.reports(List.of(new Report(plan.revision(), clear, believes, served, harmed, Map.of(1, busy)).line(d + "/a")));
         }
-        picture.news(plan.news(0));
-        picture.fleet(plan.sums(), List.of("d1", "d2", "d3"));
+        planCopy.news(plan.news(0));
+        planCopy.fleet(plan.sums(), List.of("d1", "d2", "d3"));
         List<String> done = new ArrayList<>();
-        for (Conductor.Step s : conductor.next(picture, sight, now.toMillis(), now)) {
+        for (Conductor.Step s : conductor.next(planCopy, sight, now.toMillis(), now)) {
             String not = plan.step(s.machine(), s.to(), s.stageAt(), s.why(), true, now.toMillis());
             done.add(s.machine() + " " + s.to() + (not.isEmpty() ? "" : " refused: " + not));
         }
--- a/src/test/java/wingroad/work/PlanTest.java
+++ b/src/test/java/wingroad/work/PlanTest.java
@@ -213,7 +213,7 @@
 
     @Test
     void newsMakeTheSamePicture() {
-        Picture p = new Picture();
+        PlanCopy p = new PlanCopy();
         p.news(plan.news(0));
         long seen = plan.changes();
         ask("A2");
--- a/src/test/java/wingroad/work/ViewTest.java
+++ b/src/test/java/wingroad/work/ViewTest.java
@@ -18,7 +18,7 @@
             Duration.ofSeconds(1), 0.1, Duration.ofSeconds(1), 0, Duration.ofSeconds(5), Duration.ZERO, Duration.ofSeconds(1));
     }
 
-    private static Picture picture(WorkRules rules, Stage stage) {
+    private static PlanCopy planCopy(WorkRules rules, Stage stage) {
         Plan plan = new Plan();
         plan.inventory(rules.lines());
         plan.opened("d1/a", "i1", "d1");
@@ -31,7 +31,7 @@
                 assertThat(not).isEmpty();
             }
         }
-        Picture p = new Picture();
+        PlanCopy p = new PlanCopy();
         p.news(plan.news(0));
         return p;
     }
@@ -66,7 +66,7 @@
     })
     void byStageAndView(WorkRules.Lost lost, Stage stage, long at, boolean others, View.State planned, View.State other) {
         View view = new View(rules(lost), Duration.ZERO, Duration.ofSeconds(3));
-        view.told(picture(rules(lost), stage), Duration.ofSeconds(1));
+        view.told(planCopy(rules(lost), stage), Duration.ofSeconds(1));
         view.leased(LEASE_ENDS);
         assertThat(view.state("m1", () -> others, Duration.ofSeconds(at))).isEqualTo(planned);
         assertThat(view.state("m2", () -> others, Duration.ofSeconds(at))).isEqualTo(other);
@@ -81,7 +81,7 @@
         View view = new View(rules(lost), Duration.ZERO, Duration.ofSeconds(3));
         assertThat(view.state("m1", () -> true, Duration.ofSeconds(at))).isEqualTo(state);
         // A voter that has just started tells what it knew when it ended: without a lease that is nothing.
-        view.told(picture(rules(lost), Stage.ASKED), Duration.ZERO);
+        view.told(planCopy(rules(lost), Stage.ASKED), Duration.ZERO);
         assertThat(view.state("m1", () -> true, Duration.ofSeconds(at))).isEqualTo(state);
         assertThat(view.state("elsewhere", () -> true, Duration.ofSeconds(at))).isEqualTo(View.State.AS_LISTED);
     }
@@ -90,11 +90,11 @@
     @CsvSource({"PLANNED, GONE", "OUT, GONE", "ASKED, AS_LISTED"})
     void onceTheSessionIsLeftItsLeaseCountsForNothing(Stage stage, View.State state) {
         View view = new View(rules(WorkRules.Lost.STEADY), Duration.ZERO, Duration.ofSeconds(3));
-        view.told(picture(rules(WorkRules.Lost.STEADY), stage), Duration.ofSeconds(1));
+        view.told(planCopy(rules(WorkRules.Lost.STEADY), stage), Duration.ofSeconds(1));
         view.leased(LEASE_ENDS);
         view.ended();
         // What is still told on the way out makes it no view that holds.
-        view.told(picture(rules(WorkRules.Lost.STEADY), stage), Duration.ofSeconds(1));
+        view.told(planCopy(rules(WorkRules.Lost.STEADY), stage), Duration.ofSeconds(1));
         assertThat(view.state("m1", () -> true, Duration.ofSeconds(2))).isEqualTo(state);
     }
 }
