Names: in work, MemberObservations, HarmMonitor, GroupCapacity and LostDrivers by what they are

Were Sight, Pace, Room and Strays, with Plan.Astray now LostDriver; the setting 'room' and the page's 'astray' stay as they are read. RegisterTest, ViewTest, PlanTest, ConductorTest green.

--- a/src/main/java/wingroad/driver/WorkDesk.java
+++ b/src/main/java/wingroad/driver/WorkDesk.java
@@ -21,10 +21,10 @@
 import wingroad.transport.EventLoop;
 import wingroad.work.Conductor;
 import wingroad.work.Machine;
+import wingroad.work.MemberObservations;
 import wingroad.work.Plan;
 import wingroad.work.PlanCopy;
 import wingroad.work.Report;
-import wingroad.work.Sight;
 import wingroad.work.Stage;
 import wingroad.work.View;
 import wingroad.work.WorkRules;
@@ -50,7 +50,7 @@
     private final Duration askEvery;
     private final View view;
     private final PlanCopy planCopy = new PlanCopy();
-    private final Sight sight;
+    private final MemberObservations observations;
     /** Discovery's list as it is known, and what the module was told last of each member. */
     private final Map<String, Entry> listed = new TreeMap<>();
     private final Map<String, Entry> told = new TreeMap<>();
@@ -83,7 +83,7 @@
         look = fleet.lease().beat().dividedBy(2);
         askEvery = fleet.lease().held().dividedBy(ASKS);
         view = new View(rules, now(), fleet.lease().held());
-        sight = new Sight(fleet.lease().held());
+        observations = new MemberObservations(fleet.lease().held());
         nextAt = view.next(now());
     }
 
@@ -122,12 +122,12 @@
                 if (!named.contains(uid)) {
                     listed.remove(uid);
                     told.remove(uid);
-                    sight.listed(uid, 0, true, false);
+                    observations.listed(uid, 0, true, false);
                 }
             }
         }
         for (Entry e : list.entries()) {
-            sight.listed(e.uid(), e.group(), e.gone(), !e.draining());
+            observations.listed(e.uid(), e.group(), e.gone(), !e.draining());
             if (e.gone()) {
                 listed.remove(e.uid());
             } else {
@@ -226,7 +226,7 @@
         String uid = members.uid(member);
         if (uid != null) {
             boolean primary = role == Member.Role.PRIMARY;
-            sight.said(uid, role == Member.Role.UNKNOWN ? null : primary, primary ? Duration.ZERO : position == null ? null
+            observations.said(uid, role == Member.Role.UNKNOWN ? null : primary, primary ? Duration.ZERO : position == null ? null
                 : clock.now().minus(position), now());
         }
     }
@@ -235,7 +235,7 @@
     public void failed(long member) {
         String uid = members.uid(member);
         if (uid != null) {
-            sight.failed(uid, now());
+            observations.failed(uid, now());
         }
     }
 
@@ -331,7 +331,7 @@
             }
         }
         for (int g : touched()) {
-            String primary = sight.primary(g, now);
+            String primary = observations.primary(g, now);
             if (primary != null) {
                 believes.put(g, primary);
             }
@@ -368,7 +368,7 @@
             fleet.orderMachines(epoch, rules.lines());
             return;
         }
-        List<Conductor.Step> steps = conductor.next(planCopy, sight, System.currentTimeMillis(), now());
+        List<Conductor.Step> steps = conductor.next(planCopy, observations, System.currentTimeMillis(), now());
         askMembers();
         conductor.pages().forEach((m, text) -> log.accept("work: " + m + " " + text));
         if (!steps.isEmpty()) {
--- a/src/main/java/wingroad/fleet/ConsensusNode.java
+++ b/src/main/java/wingroad/fleet/ConsensusNode.java
@@ -39,8 +39,8 @@
 import wingroad.fleet.MessageCodec.Endpoint;
 import wingroad.fleet.Net.Wire;
 import wingroad.protocol.Json;
+import wingroad.work.LostDrivers;
 import wingroad.work.Plan;
-import wingroad.work.Strays;
 import wingroad.work.WorkRules;
 
 /**
@@ -97,7 +97,7 @@
     /** The newest that drivers say of themselves, a line by session, not yet handed on. */
     private final Map<String, String> reports = new TreeMap<>();
     /** The clock on drivers without a session, or null where there is no work on machines. */
-    private final Strays strays;
+    private final LostDrivers lostDrivers;
     private final Set<String> founding = new LinkedHashSet<>();
     private boolean pushAsked;
     private boolean changing;
@@ -122,7 +122,7 @@
         this.store = reader.read();
         this.random = new Random(seed);
         this.overdue = new Overdue(rules.lease());
-        this.strays = rules.work() == null ? null : new Strays(rules.work(), rules.lease().drift());
+        this.lostDrivers = rules.work() == null ? null : new LostDrivers(rules.work(), rules.lease().drift());
     }
 
     void start() {
@@ -503,8 +503,8 @@
                     submit(Op.workReports(List.copyOf(reports.values())).at(host.wall()));
                 }
                 overdue.ends(host.now()).stream().limit(MOST_ENDS).forEach(op -> submit(op.at(host.wall())));
-                if (strays != null) {
-                    strays.stopped(register.plan(), host.now()).stream().limit(MOST_ENDS).forEach(x ->
+                if (lostDrivers != null) {
+                    lostDrivers.stopped(register.plan(), host.now()).stream().limit(MOST_ENDS).forEach(x ->
                         submit(Op.workStopped(x.identity(), x.number(), x.level()).at(host.wall())));
                 }
             } else {
@@ -540,8 +540,8 @@
 
     private void lookAtSessions() {
         overdue.look(register, host.now());
-        if (strays != null) {
-            strays.look(register.plan(), host.now());
+        if (lostDrivers != null) {
+            lostDrivers.look(register.plan(), host.now());
         }
     }
 
@@ -1074,7 +1074,7 @@
                 plan.machines().values().stream().map(m -> MessageCodec.message("machine", "name", m.name(), "zone", m.zone(), "drivers",
                     m.drivers(), "members", m.parts().stream().map(p -> p.uid() + "#" + p.group()).toList())).toList(),
                 "entries", plan.entries().stream().map(e -> e.page(plan.waitsFor(e))).toList(), "astray",
-                plan.astray().stream().map(Plan.Astray::known).toList(), "history", List.copyOf(plan.history())));
+                plan.astray().stream().map(Plan.LostDriver::known).toList(), "history", List.copyOf(plan.history())));
         }
         return all;
     }
--- a/src/main/java/wingroad/work/Conductor.java
+++ b/src/main/java/wingroad/work/Conductor.java
@@ -35,8 +35,8 @@
     }
 
     private final WorkRules rules;
-    private final Pace pace;
-    private final Room room;
+    private final HarmMonitor harm;
+    private final GroupCapacity capacity;
     private final Collection<String> voters;
     private final Map<String, Duration> returningSince = new TreeMap<>();
     private final Map<String, Duration> unfitSince = new HashMap<>();
@@ -61,8 +61,8 @@
     public Conductor(WorkRules rules, Collection<String> voters) {
         this.rules = rules;
         this.voters = voters;
-        pace = new Pace(rules.watch(), rules.harm());
-        room = new Room(rules.watch());
+        harm = new HarmMonitor(rules.watch(), rules.harm());
+        capacity = new GroupCapacity(rules.watch());
     }
 
     /** Lines that somebody should be woken up for, each once: machine to text. */
@@ -80,14 +80,14 @@
     }
 
     /** The steps that are next; asked again and again until they are seen settled. */
-    public List<Step> next(PlanCopy plan, Sight sight, long wall, Duration now) {
+    public List<Step> next(PlanCopy plan, MemberObservations observations, long wall, Duration now) {
         List<Step> steps = new ArrayList<>();
         List<Plan.Entry> all = new ArrayList<>(plan.entries());
         chosen.clear();
         looked.clear();
         all.stream().filter(e -> e.stage.announced()).forEach(e -> looked.add(e.machine));
         boolean atWork = all.stream().anyMatch(e -> e.stage == Stage.DRAINING || e.stage == Stage.OUT || e.stage == Stage.RETURNING);
-        pace.figures(plan.served(), plan.harmed(), atWork, now);
+        harm.figures(plan.served(), plan.harmed(), atWork, now);
         uses(plan, now);
         Set<String> out = new HashSet<>();
         all.stream().filter(e -> e.stage == Stage.OUT).forEach(e -> out.add(e.machine));
@@ -104,16 +104,16 @@
             Machine m = plan.machines().get(e.machine);
             if (m != null) {
                 switch (e.stage) {
-                    case PLANNED -> planned(e, m, plan, sight, wall, now, steps);
-                    case DRAINING -> draining(e, m, sight, now, steps);
-                    case OUT -> out(e, m, sight, wall, now, steps);
-                    case RETURNING -> returning(e, m, sight, now, steps);
+                    case PLANNED -> planned(e, m, plan, observations, wall, now, steps);
+                    case DRAINING -> draining(e, m, observations, now, steps);
+                    case OUT -> out(e, m, observations, wall, now, steps);
+                    case RETURNING -> returning(e, m, observations, now, steps);
                     default -> soon(e, wall, steps);
                 }
             }
         }
         if (!plan.held()) {
-            begin(all, plan, sight, now, steps);
+            begin(all, plan, observations, now, steps);
         }
         return steps;
     }
@@ -147,7 +147,7 @@
         use.keySet().retainAll(plan.busy().keySet());
     }
 
-    private void planned(Plan.Entry e, Machine m, PlanCopy plan, Sight sight, long wall, Duration now, List<Step> steps) {
+    private void planned(Plan.Entry e, Machine m, PlanCopy plan, MemberObservations observations, long wall, Duration now, List<Step> steps) {
         Duration since = plannedSince.computeIfAbsent(e.machine, k -> now);
         soon(e, wall, steps);
         if (!e.known) {
@@ -157,7 +157,7 @@
             }
             return;
         }
-        String not = whyNotDrain(e, m, plan, sight, now);
+        String not = whyNotDrain(e, m, plan, observations, now);
         if (not.isEmpty()) {
             chosen.add(e.machine);
             steps.add(new Step(e.machine, Stage.DRAINING.name(), e.stageAt, "everybody knows of it"));
@@ -167,29 +167,29 @@
     }
 
     /** Why a machine can't be spared now, or empty. */
-    private String whyNotDrain(Plan.Entry e, Machine m, PlanCopy plan, Sight sight, Duration now) {
-        if (!pace.calm(now) || outAt != null && now.minus(outAt).compareTo(rules.watch()) < 0) {
-            return "watches for harm: " + part(pace.part()) + " of the txns, before " + part(pace.before());
+    private String whyNotDrain(Plan.Entry e, Machine m, PlanCopy plan, MemberObservations observations, Duration now) {
+        if (!harm.calm(now) || outAt != null && now.minus(outAt).compareTo(rules.watch()) < 0) {
+            return "watches for harm: " + part(harm.part()) + " of the txns, before " + part(harm.before());
         }
-        String others = othersUnfit(m, sight, now);
+        String others = othersUnfit(m, observations, now);
         if (!others.isEmpty()) {
             return others;
         }
         for (int g : m.groups()) {
-            String primary = sight.primary(g, now);
+            String primary = observations.primary(g, now);
             if (primary == null) {
                 return "no primary of group " + g + " is seen";
             }
             if (m.holds(primary)) {
-                return "the primary of group " + g + " is here: to be moved to " + couldLead(m, g, sight, now);
+                return "the primary of group " + g + " is here: to be moved to " + couldLead(m, g, observations, now);
             }
-            List<String> left = left(m, g, sight, now);
+            List<String> left = left(m, g, observations, now);
             double most = rules.room() * left.size() * MOST_USE;
             double used = use.getOrDefault(g, 0.0);
             if (rules.room() > 0 && used > most) {
                 return String.format(Locale.ROOT, "group %d has %.1f txns at work, room for %.1f without it", g, used, most);
             }
-            if (room.tooMuch(g, used / Math.max(1, left.size()), now)) {
+            if (capacity.tooMuch(g, used / Math.max(1, left.size()), now)) {
                 return String.format(Locale.ROOT, "group %d has %.1f txns at work: as much as did harm without it", g, used);
             }
         }
@@ -212,53 +212,53 @@
     }
 
     /** The fit members of a group that are on other machines. */
-    private List<String> left(Machine m, int group, Sight sight, Duration now) {
-        return sight.of(group).stream().filter(u -> !m.holds(u) && sight.fit(u, now)).toList();
+    private List<String> left(Machine m, int group, MemberObservations observations, Duration now) {
+        return observations.of(group).stream().filter(u -> !m.holds(u) && observations.fit(u, now)).toList();
     }
 
-    private String couldLead(Machine m, int group, Sight sight, Duration now) {
-        List<String> fit = left(m, group, sight, now).stream().filter(u -> sight.behind(u, now) != null
-            && sight.behind(u, now).compareTo(rules.lag()) <= 0).toList();
+    private String couldLead(Machine m, int group, MemberObservations observations, Duration now) {
+        List<String> fit = left(m, group, observations, now).stream().filter(u -> observations.behind(u, now) != null
+            && observations.behind(u, now).compareTo(rules.lag()) <= 0).toList();
         return fit.isEmpty() ? "none that is fit and close on the log" : String.join(" or ", fit);
     }
 
     /** What of its groups' others is not fit, or empty: one that fails by itself counts as away. */
-    private String othersUnfit(Machine m, Sight sight, Duration now) {
+    private String othersUnfit(Machine m, MemberObservations observations, Duration now) {
         for (int g : m.groups()) {
-            for (String u : sight.of(g)) {
-                if (!m.holds(u) && !sight.fit(u, now)) {
+            for (String u : observations.of(g)) {
+                if (!m.holds(u) && !observations.fit(u, now)) {
                     return "group " + g + ": " + u + " is not fit";
                 }
             }
-            if (left(m, g, sight, now).isEmpty()) {
+            if (left(m, g, observations, now).isEmpty()) {
                 return "group " + g + " has no other member that is seen";
             }
         }
         return "";
     }
 
-    private void draining(Plan.Entry e, Machine m, Sight sight, Duration now, List<Step> steps) {
-        String others = lasting(e.machine, othersUnfit(m, sight, now), now);
-        String late = behind(m, sight, now);
+    private void draining(Plan.Entry e, Machine m, MemberObservations observations, Duration now, List<Step> steps) {
+        String others = lasting(e.machine, othersUnfit(m, observations, now), now);
+        String late = behind(m, observations, now);
         others = others.isEmpty() ? lasting(e.machine + " log", late, now) : others;
-        if (!others.isEmpty() || pace.harms(now)) {
+        if (!others.isEmpty() || harm.harms(now)) {
             if (others.isEmpty()) {
-                m.groups().forEach(g -> room.harmed(g, use.getOrDefault(g, 0.0) / Math.max(1, left(m, g, sight, now).size()), now));
+                m.groups().forEach(g -> capacity.harmed(g, use.getOrDefault(g, 0.0) / Math.max(1, left(m, g, observations, now).size()), now));
             }
             restUntil.put(e.machine, now.plus(rules.watch().multipliedBy(REST)));
             steps.add(new Step(e.machine, Stage.ASKED.name(), e.stageAt, "put back: " + (others.isEmpty()
-                ? part(pace.part()) + " of the txns harmed, before " + part(pace.before()) : others)));
+                ? part(harm.part()) + " of the txns harmed, before " + part(harm.before()) : others)));
         } else if (e.clear) {
             steps.add(new Step(e.machine, Stage.OUT.name(), e.stageAt, "nothing of anybody's is there"));
         }
     }
 
     /** Which of the others has fallen behind the log since its machine's share came to them, or empty. */
-    private String behind(Machine m, Sight sight, Duration now) {
+    private String behind(Machine m, MemberObservations observations, Duration now) {
         for (int g : m.groups()) {
-            for (String u : left(m, g, sight, now)) {
-                Duration behind = sight.behind(u, now);
-                if (!u.equals(sight.primary(g, now)) && behind != null && behind.compareTo(rules.lag().multipliedBy(FAR)) > 0) {
+            for (String u : left(m, g, observations, now)) {
+                Duration behind = observations.behind(u, now);
+                if (!u.equals(observations.primary(g, now)) && behind != null && behind.compareTo(rules.lag().multipliedBy(FAR)) > 0) {
                     return "group " + g + ": " + u + " is " + behind.toMillis() + " ms behind on the log";
                 }
             }
@@ -276,8 +276,8 @@
         return now.minus(since).compareTo(rules.watch().dividedBy(2)) >= 0 ? what : "";
     }
 
-    private void out(Plan.Entry e, Machine m, Sight sight, long wall, Duration now, List<Step> steps) {
-        String others = lasting(e.machine, othersUnfit(m, sight, now), now);
+    private void out(Plan.Entry e, Machine m, MemberObservations observations, long wall, Duration now, List<Step> steps) {
+        String others = lasting(e.machine, othersUnfit(m, observations, now), now);
         if (!others.isEmpty()) {
             note(e, "PAGE: wanted back: " + others, steps);
         } else if (e.forMs > 0 && wall - e.outSince > e.forMs) {
@@ -287,21 +287,21 @@
         }
     }
 
-    private void returning(Plan.Entry e, Machine m, Sight sight, Duration now, List<Step> steps) {
+    private void returning(Plan.Entry e, Machine m, MemberObservations observations, Duration now, List<Step> steps) {
         Duration since = returningSince.computeIfAbsent(e.machine, k -> now);
         for (int g : m.groups()) {
-            List<String> here = sight.of(g).stream().filter(m::holds).toList();
+            List<String> here = observations.of(g).stream().filter(m::holds).toList();
             if (here.isEmpty()) {
                 note(e, "no member of group " + g + " on it is listed", steps);
                 return;
             }
             for (String u : here) {
-                if (!sight.fit(u, now)) {
+                if (!observations.fit(u, now)) {
                     note(e, u + " has not answered", steps);
                     return;
                 }
-                Duration behind = sight.behind(u, now);
-                if (!u.equals(sight.primary(g, now)) && (behind == null || behind.compareTo(rules.lag()) > 0)) {
+                Duration behind = observations.behind(u, now);
+                if (!u.equals(observations.primary(g, now)) && (behind == null || behind.compareTo(rules.lag()) > 0)) {
                     note(e, u + " is " + (behind == null ? "not known to be close" : behind.toMillis() + " ms behind") + " on the log",
                         steps);
                     return;
@@ -330,13 +330,13 @@
     }
 
     /** Announces what may go next: as much together as the limits let. */
-    private void begin(List<Plan.Entry> all, PlanCopy plan, Sight sight, Duration now, List<Step> steps) {
+    private void begin(List<Plan.Entry> all, PlanCopy plan, MemberObservations observations, Duration now, List<Step> steps) {
         List<Plan.Entry> away = new ArrayList<>(all.stream().filter(e -> e.stage.announced()).toList());
         List<Plan.Entry> waiting = new ArrayList<>(all.stream().filter(e -> e.stage == Stage.ASKED && !e.held
             && !restUntil.containsKey(e.machine) && plan.machines().containsKey(e.machine)).toList());
         // Whoever has a time to keep first, then replicas before primaries, then whoever has waited longest.
         waiting.sort(Comparator.<Plan.Entry>comparingLong(e -> e.before > 0 ? e.before : Long.MAX_VALUE)
-            .thenComparingLong(e -> primaries(plan.machines().get(e.machine), sight, now)).thenComparingLong(e -> e.number));
+            .thenComparingLong(e -> primaries(plan.machines().get(e.machine), observations, now)).thenComparingLong(e -> e.number));
         Set<String> stillThere = new HashSet<>();
         all.forEach(e -> stillThere.add(e.machine));
         int most = limit(plan) * LOOKS + AND_SOME + looked.size();
@@ -351,7 +351,7 @@
                 continue;
             }
             looked.add(e.machine);
-            String others = othersUnfit(m, sight, now);
+            String others = othersUnfit(m, observations, now);
             if (others.isEmpty()) {
                 away.add(e);
                 steps.add(new Step(e.machine, Stage.PLANNED.name(), e.stageAt, "its turn"));
@@ -369,7 +369,7 @@
         return plan.lines().isEmpty() ? 1 : Integer.parseInt(plan.lines().get(0).split(" ")[0]);
     }
 
-    private static long primaries(Machine m, Sight sight, Duration now) {
-        return m.groups().stream().filter(g -> sight.primary(g, now) != null && m.holds(sight.primary(g, now))).count();
+    private static long primaries(Machine m, MemberObservations observations, Duration now) {
+        return m.groups().stream().filter(g -> observations.primary(g, now) != null && m.holds(observations.primary(g, now))).count();
     }
 }
--- a/src/main/java/wingroad/work/Room.java
+++ b/src/main/java/wingroad/work/GroupCapacity.java
@@ -9,7 +9,7 @@
  * txns are harmed, each of the others had so many at work; that was too much, and as much is not tried again soon. What was too
  * much is let off by and by: machines get stronger, txns shorter, and the harm may have had another cause.
  */
-final class Room {
+final class GroupCapacity {
     /** So near to what was too much it is not tried. */
     private static final double SHY = 0.95;
     /** What was too much grows by this part with each watched span. */
@@ -27,7 +27,7 @@
     private final Map<Integer, Ceiling> ceilings = new TreeMap<>();
 
     /** @param span the watched span */
-    Room(Duration span) {
+    GroupCapacity(Duration span) {
         this.span = span;
     }
 
--- a/src/main/java/wingroad/work/Pace.java
+++ b/src/main/java/wingroad/work/HarmMonitor.java
@@ -7,7 +7,7 @@
  * Whether work does harm: the part of the txns that are declined, rolled back or late, now beside before it began. Learned from the
  * fleet's figures; a new conductor knows nothing and watches for a while first.
  */
-final class Pace {
+final class HarmMonitor {
     /** So few txns in a window say nothing. */
     private static final long FEW = 20;
 
@@ -20,7 +20,7 @@
     private double before = -1;
     private Duration harmAt;
 
-    Pace(Duration watch, double most) {
+    HarmMonitor(Duration watch, double most) {
         this.watch = watch;
         this.most = most;
     }
--- a/src/main/java/wingroad/work/Strays.java
+++ b/src/main/java/wingroad/work/LostDrivers.java
@@ -10,7 +10,7 @@
  * A voter's own clock on drivers without a session: how long ago each was lost, and so what is certain to have stopped there. It
  * only ever proposes; a driver that was lost anew has another number, which makes the proposal void.
  */
-public final class Strays {
+public final class LostDrivers {
     /** So long may the end of a process take that has said that it ends, beside its last txns. */
     private static final Duration ENDING = Duration.ofSeconds(10);
 
@@ -26,7 +26,7 @@
     private final Map<String, Seen> seen = new HashMap<>();
 
     /** @param drift how far two clocks may run apart, as a part of one */
-    public Strays(WorkRules rules, double drift) {
+    public LostDrivers(WorkRules rules, double drift) {
         this.rules = rules;
         this.slow = (1 + drift) / (1 - drift);
     }
@@ -34,7 +34,7 @@
     /** Compares with what is settled now. */
     public void look(Plan plan, Duration now) {
         seen.keySet().removeIf(i -> plan.astray().stream().noneMatch(a -> a.identity.equals(i)));
-        for (Plan.Astray a : plan.astray()) {
+        for (Plan.LostDriver a : plan.astray()) {
             Seen was = seen.get(a.identity);
             if (was == null || was.number != a.number) {
                 seen.put(a.identity, new Seen(a.number, now));
@@ -45,7 +45,7 @@
     /** What is certain by now and not settled yet. */
     public List<Stopped> stopped(Plan plan, Duration now) {
         List<Stopped> all = new ArrayList<>();
-        for (Plan.Astray a : plan.astray()) {
+        for (Plan.LostDriver a : plan.astray()) {
             Seen s = seen.get(a.identity);
             if (s == null || s.number != a.number) {
                 continue;
--- a/src/main/java/wingroad/work/Sight.java
+++ b/src/main/java/wingroad/work/MemberObservations.java
@@ -11,7 +11,7 @@
  * What a driver has seen of the members lately, from their answers and probes: who says it is primary, how far behind the log, who
  * answers. What has not been heard for a while counts for nothing. Bounded by what discovery lists.
  */
-public final class Sight {
+public final class MemberObservations {
     /** What a member said last. */
     public static final class Seen {
         final String uid;
@@ -37,7 +37,7 @@
     private final Duration fresh;
 
     /** @param fresh how long what was seen counts */
-    public Sight(Duration fresh) {
+    public MemberObservations(Duration fresh) {
         this.fresh = fresh;
     }
 
--- a/src/main/java/wingroad/work/Plan.java
+++ b/src/main/java/wingroad/work/Plan.java
@@ -119,7 +119,7 @@
     }
 
     /** A driver without a session whose process may still run. */
-    public static final class Astray {
+    public static final class LostDriver {
         final String identity;
         final String name;
         final long knows;
@@ -129,7 +129,7 @@
         /** 0: lately lost; 1: what it knew to be announced has nothing of it any more. */
         int level;
 
-        Astray(String identity, String name, long knows, long number, boolean ends) {
+        LostDriver(String identity, String name, long knows, long number, boolean ends) {
             this.identity = identity;
             this.name = name;
             this.knows = knows;
@@ -179,7 +179,7 @@
     /** The same by their last changes: what is new is asked for by each driver, after each change. */
     private final TreeMap<Long, Entry> byChange = new TreeMap<>();
     private final TreeMap<String, Live> live = new TreeMap<>();
-    private final TreeMap<String, Astray> astray = new TreeMap<>();
+    private final TreeMap<String, LostDriver> astray = new TreeMap<>();
     /** Machines that were taken off the plan, with the change's number, oldest first. */
     private final ArrayDeque<Object[]> gone = new ArrayDeque<>();
     private final ArrayDeque<String> history = new ArrayDeque<>();
@@ -201,7 +201,7 @@
         return entries.get(machine);
     }
 
-    public Collection<Astray> astray() {
+    public Collection<LostDriver> astray() {
         return astray.values();
     }
 
@@ -247,14 +247,14 @@
             // More than there can be drivers: one stands for the rest, and nothing goes out until somebody has looked.
             boolean room = astray.size() < MOST_ASTRAY || astray.containsKey(l.identity);
             String identity = room ? l.identity : MANY;
-            astray.put(identity, new Astray(identity, room ? l.name : MANY, room ? l.report.knows() : 0, ++losses, room && ends));
+            astray.put(identity, new LostDriver(identity, room ? l.name : MANY, room ? l.report.knows() : 0, ++losses, room && ends));
         }
         derive();
     }
 
     /** By the voters' clocks: level 1, nothing of it is left at what it knew to be announced; level 2, nothing at all. */
     public String stopped(String identity, long number, long level) {
-        Astray a = astray.get(identity);
+        LostDriver a = astray.get(identity);
         if (a == null || a.number != number) {
             return "not lost, or lost anew";
         }
@@ -704,7 +704,7 @@
         });
         ((List<?>) all.get("astray")).forEach(o -> {
             List<?> v = (List<?>) o;
-            Astray a = new Astray((String) v.get(0), (String) v.get(1), number(v.get(2)), number(v.get(3)), (Boolean) v.get(5));
+            LostDriver a = new LostDriver((String) v.get(0), (String) v.get(1), number(v.get(2)), number(v.get(3)), (Boolean) v.get(5));
             a.level = (int) number(v.get(4));
             astray.put(a.identity, a);
         });
--- a/src/test/java/wingroad/fleet/SimWork.java
+++ b/src/test/java/wingroad/fleet/SimWork.java
@@ -16,10 +16,10 @@
 import wingroad.fleet.SimFleet.Wrong;
 import wingroad.work.Conductor;
 import wingroad.work.Machine;
+import wingroad.work.MemberObservations;
 import wingroad.work.Plan;
 import wingroad.work.PlanCopy;
 import wingroad.work.Report;
-import wingroad.work.Sight;
 import wingroad.work.Stage;
 import wingroad.work.View;
 import wingroad.work.WorkRules;
@@ -190,7 +190,7 @@
         private final Proc proc;
         private final View view;
         private final PlanCopy planCopy = new PlanCopy();
-        private final Sight sight = new Sight(SimFleet.LEASE);
+        private final MemberObservations observations = new MemberObservations(SimFleet.LEASE);
         private final Map<String, Integer> open = new HashMap<>();
         private final Map<String, Duration> leftSince = new HashMap<>();
         private Conductor conductor;
@@ -204,7 +204,7 @@
         Desk(Proc proc) {
             this.proc = proc;
             view = new View(rules, proc.now(), SimFleet.LEASE);
-            members.values().forEach(m -> sight.listed(m.uid, m.group, false, true));
+            members.values().forEach(m -> observations.listed(m.uid, m.group, false, true));
         }
 
         @Override
@@ -260,7 +260,7 @@
             }
             for (Plan.Entry e : planCopy.entries()) {
                 for (int g : e.stage().announced() ? planCopy.machines().get(e.machine()).groups() : Set.<Integer>of()) {
-                    String primary = sight.primary(g, proc.now());
+                    String primary = observations.primary(g, proc.now());
                     if (primary != null) {
                         believes.put(g, primary);
                     }
@@ -284,13 +284,13 @@
                 } else {
                     members.values().forEach(m -> {
                         if (m.up && !fleet.held.contains("member>" + proc.name)) {
-                            sight.said(m.uid, m.primary, Duration.ofMillis(30), now);
+                            observations.said(m.uid, m.primary, Duration.ofMillis(30), now);
                         } else {
-                            sight.failed(m.uid, now);
+                            observations.failed(m.uid, now);
                         }
                     });
                     long mine = epoch;
-                    for (Conductor.Step x : conductor.next(planCopy, sight, proc.wall(), now)) {
+                    for (Conductor.Step x : conductor.next(planCopy, observations, proc.wall(), now)) {
                         Runnable order = () -> proc.councilSession.order(mine, s -> Op.workStep(s, mine, x.machine(), x.to(), x.stageAt(),
                             x.why()));
                         if (random.nextInt(4) == 0) {
@@ -337,7 +337,7 @@
                 m.open--;
                 open.merge(m.uid, -1, Integer::sum);
                 served++;
-                sight.said(m.uid, m.primary, Duration.ofMillis(30), proc.now());
+                observations.said(m.uid, m.primary, Duration.ofMillis(30), proc.now());
             });
         }
     }
--- a/src/test/java/wingroad/work/ConductorTest.java
+++ b/src/test/java/wingroad/work/ConductorTest.java
@@ -15,7 +15,7 @@
     private final WorkRules rules = rules(2, 0);
     private final Plan plan = new Plan();
     private final PlanCopy planCopy = new PlanCopy();
-    private final Sight sight = new Sight(Duration.ofSeconds(3));
+    private final MemberObservations observations = new MemberObservations(Duration.ofSeconds(3));
     private Conductor conductor = new Conductor(rules, List.of("d1", "d2", "d3"));
     private Duration now = Duration.ofSeconds(100);
     private long served = 1000;
@@ -42,11 +42,11 @@
             plan.opened(d + "/a", d, d);
         }
         for (String u : List.of("p1", "p2", "p3")) {
-            sight.listed(u, 1, false, true);
+            observations.listed(u, 1, false, true);
         }
-        sight.listed("q1", 2, false, true);
-        sight.listed("q2", 2, false, true);
-        sight.listed("q3", 2, false, true);
+        observations.listed("q1", 2, false, true);
+        observations.listed("q2", 2, false, true);
+        observations.listed("q3", 2, false, true);
     }
 
     private void ask(String machine) {
@@ -59,7 +59,7 @@
         served += 100;
         for (String u : List.of("p1", "p2", "p3", "q1", "q2", "q3")) {
             if (!silent.containsKey(u)) {
-                sight.said(u, u.equals(primary) || u.equals("q1"), Duration.ofMillis(lag.getOrDefault(u, 20L)), now);
+                observations.said(u, u.equals(primary) || u.equals("q1"), Duration.ofMillis(lag.getOrDefault(u, 20L)), now);
             }
         }
         Set<String> clear = new java.util.TreeSet<>();
@@ -71,7 +71,7 @@
         planCopy.news(plan.news(0));
         planCopy.fleet(plan.sums(), List.of("d1", "d2", "d3"));
         List<String> done = new ArrayList<>();
-        for (Conductor.Step s : conductor.next(planCopy, sight, now.toMillis(), now)) {
+        for (Conductor.Step s : conductor.next(planCopy, observations, now.toMillis(), now)) {
             String not = plan.step(s.machine(), s.to(), s.stageAt(), s.why(), true, now.toMillis());
             done.add(s.machine() + " " + s.to() + (not.isEmpty() ? "" : " refused: " + not));
         }
@@ -205,7 +205,7 @@
         turns(12);
         plan.word("done", "B", 0);
         silent.put("p2", true);
-        sight.said("p2", false, Duration.ofSeconds(9), now);
+        observations.said("p2", false, Duration.ofSeconds(9), now);
         turns(4);
         assertThat(waits("B")).contains("p2 is 9000 ms behind on the log");
         silent.clear();
@@ -241,7 +241,7 @@
 
     @Test
     void whatWasTooMuchIsLetOffByAndBy() {
-        Room room = new Room(Duration.ofSeconds(10));
+        GroupCapacity room = new GroupCapacity(Duration.ofSeconds(10));
         room.harmed(1, 8, Duration.ZERO);
         assertThat(room.tooMuch(1, 7.9, Duration.ofSeconds(10))).isTrue();
         assertThat(room.tooMuch(1, 7, Duration.ofSeconds(10))).isFalse();
--- a/src/test/java/wingroad/work/PlanTest.java
+++ b/src/test/java/wingroad/work/PlanTest.java
@@ -90,7 +90,7 @@
         report("d1", plan.revision(), "A2");
         plan.ended("d2/a", false);
         assertThat(step("A2", "OUT")).isEqualTo("not everybody has left it");
-        Plan.Astray a = plan.astray().iterator().next();
+        Plan.LostDriver a = plan.astray().iterator().next();
         assertThat(plan.stopped(a.identity(), a.number() + 1, 1)).isNotEmpty();
         assertThat(plan.stopped(a.identity(), a.number(), 1)).isEmpty();
         assertThat(step("A2", "OUT")).isEmpty();
@@ -102,7 +102,7 @@
         ask("A2");
         step("A2", "PLANNED");
         report("d1", plan.revision());
-        Plan.Astray a = plan.astray().iterator().next();
+        Plan.LostDriver a = plan.astray().iterator().next();
         plan.stopped(a.identity(), a.number(), 1);
         assertThat(step("A2", "DRAINING")).isEqualTo("not everybody knows of it");
         assertThat(plan.word("gone", "d2", 0)).isEmpty();
@@ -231,18 +231,18 @@
     void strayDriversAreCountedByTheVotersClocksSlowly() {
         WorkRules rules = new WorkRules(Map.of(), 1, WorkRules.Lost.STEADY, Duration.ofSeconds(60), Duration.ofSeconds(1), 0.1,
             Duration.ofSeconds(1), 0, Duration.ofSeconds(10), Duration.ZERO, Duration.ZERO);
-        Strays strays = new Strays(rules, 0.1);
+        LostDrivers lostDrivers = new LostDrivers(rules, 0.1);
         plan.ended("d1/a", false);
         plan.ended("d2/a", true);
-        strays.look(plan, Duration.ofSeconds(100));
-        assertThat(strays.stopped(plan, Duration.ofSeconds(112))).isEmpty();
-        assertThat(strays.stopped(plan, Duration.ofMillis(112_300))).extracting(Strays.Stopped::level).containsExactly(1L, 1L);
+        lostDrivers.look(plan, Duration.ofSeconds(100));
+        assertThat(lostDrivers.stopped(plan, Duration.ofSeconds(112))).isEmpty();
+        assertThat(lostDrivers.stopped(plan, Duration.ofMillis(112_300))).extracting(LostDrivers.Stopped::level).containsExactly(1L, 1L);
         // One that has said that it ends has ended for certain, some time later.
-        assertThat(strays.stopped(plan, Duration.ofSeconds(130))).extracting(s -> s.identity() + s.level()).contains("i22", "i11");
+        assertThat(lostDrivers.stopped(plan, Duration.ofSeconds(130))).extracting(s -> s.identity() + s.level()).contains("i22", "i11");
         inventory("2 STRICT");
-        assertThat(strays.stopped(plan, Duration.ofSeconds(190))).extracting(Strays.Stopped::level).containsExactly(2L, 2L);
+        assertThat(lostDrivers.stopped(plan, Duration.ofSeconds(190))).extracting(LostDrivers.Stopped::level).containsExactly(2L, 2L);
         inventory("2 SERVE");
-        assertThat(strays.stopped(plan, Duration.ofSeconds(190))).extracting(s -> s.identity() + s.level()).containsExactly("i22");
+        assertThat(lostDrivers.stopped(plan, Duration.ofSeconds(190))).extracting(s -> s.identity() + s.level()).containsExactly("i22");
     }
 
     @ParameterizedTest
