--- a/src/bench/java/wingroad/door/DoorBench.java
+++ b/src/bench/java/wingroad/door/DoorBench.java
@@ -58,7 +58,7 @@
         terms.put("txn-type.0.expiry", LEFT);
         terms.put("may-advise-come-back", true);
         terms.put("longest-come-back", Duration.ofMillis(500));
-        return new FairDoor(terms, HouseRules.USUAL, 3, line -> { });
+        return new FairDoor(terms, FairQueueSettings.USUAL, 3, line -> { });
     }
 
     private void arrive() {
--- a/src/main/java/wingroad/door/FairDoor.java
+++ b/src/main/java/wingroad/door/FairDoor.java
@@ -61,14 +61,14 @@
     private final Wheel wheel = new Wheel();
     private final ArrayDeque<Lane> dirty = new ArrayDeque<>();
     private final ArrayDeque<Verdict> ready = new ArrayDeque<>();
-    private HouseRules rules;
+    private FairQueueSettings rules;
     private int waiting;
     private int bookings;
     private Duration endBy;
     private long letIn;
     private long declined;
 
-    public FairDoor(Map<String, Object> terms, HouseRules rules, long seed, Consumer<String> log) {
+    public FairDoor(Map<String, Object> terms, FairQueueSettings rules, long seed, Consumer<String> log) {
         this.rules = rules;
         this.random = new Random(seed);
         this.log = log;
@@ -90,7 +90,7 @@
     // ---- inputs: they only update what is known ----
 
     /** Other rules from now on. What waits keeps its place; weights count from the next txn that is let in. */
-    public void rules(Duration now, HouseRules next) {
+    public void rules(Duration now, FairQueueSettings next) {
         rules = next;
         names.each(next.namesPerAddress());
         // First as if nobody were listed; whose queue is empty learns what it is due when it comes again.
@@ -110,7 +110,7 @@
         }
     }
 
-    private void dues(int row, HouseRules.Tenant due) {
+    private void dues(int row, FairQueueSettings.Tenant due) {
         if (accounts.waiting[row] > 0) {
             lanes.get(accounts.lanes[row]).waitingWeight += due.weight() - accounts.weights[row];
         }
@@ -520,7 +520,7 @@
             caller.known = true;
             caller.addressHash = hasher.hashCharsToLong(caller.address);
         }
-        HouseRules.Tenant due = rules.tenants().get(name == null ? caller.address : name);
+        FairQueueSettings.Tenant due = rules.tenants().get(name == null ? caller.address : name);
         long who = caller.addressHash;
         if (name != null) {
             if (!name.equals(caller.lastName)) {
--- a/src/main/java/wingroad/door/HouseRules.java
+++ b/src/main/java/wingroad/door/FairQueueSettings.java
@@ -12,7 +12,7 @@
  * @param others          for those that are not listed
  * @param tenants         by their names; an address may be listed as well
  */
-public record HouseRules(List<Source> sources, int namesPerAddress, int mostWaiting, Tenant others,
+public record FairQueueSettings(List<Source> sources, int namesPerAddress, int mostWaiting, Tenant others,
                          Map<String, Tenant> tenants) {
     /** Where a name may stand. */
     public enum Place { COMMENT, STARTUP, ADDRESS }
@@ -30,6 +30,6 @@
     public record Tenant(double weight, double cap) {
     }
 
-    public static final HouseRules USUAL = new HouseRules(List.of(new Source(Place.ADDRESS, null)), 8, 2000,
+    public static final FairQueueSettings USUAL = new FairQueueSettings(List.of(new Source(Place.ADDRESS, null)), 8, 2000,
         new Tenant(1, 1), Map.of());
 }
--- a/src/main/java/wingroad/driver/Clients.java
+++ b/src/main/java/wingroad/driver/Clients.java
@@ -13,7 +13,7 @@
 import java.util.Set;
 import java.util.function.IntPredicate;
 import wingroad.door.Caller;
-import wingroad.door.HouseRules;
+import wingroad.door.FairQueueSettings;
 import wingroad.protocol.ClientInput;
 import wingroad.protocol.Statement;
 import wingroad.transport.EventLoop;
@@ -44,7 +44,7 @@
     /** The ids of statements until their clients' time is over: none comes twice. */
     private final Map<String, Duration> ids = new HashMap<>();
     /** Where tenants' names are looked for, or null: nobody asks for them. */
-    private HouseRules houseRules;
+    private FairQueueSettings houseRules;
     private Listener listener;
     private int numbers;
     private boolean closing;
@@ -99,7 +99,7 @@
     }
 
     /** From now on txns are told with who asks, as these rules say. */
-    void tellWhoAsks(HouseRules rules) {
+    void tellWhoAsks(FairQueueSettings rules) {
         houseRules = rules;
     }
 
@@ -116,7 +116,7 @@
 
     /** The name that counts for this txn, or null: its address does. */
     private String name(Statement s, Caller caller) {
-        for (HouseRules.Source source : houseRules.sources()) {
+        for (FairQueueSettings.Source source : houseRules.sources()) {
             String name = switch (source.place()) {
                 case COMMENT -> s.named(source.name());
                 case STARTUP -> caller.said(source.name());
--- a/src/main/java/wingroad/operator/OperatorFile.java
+++ b/src/main/java/wingroad/operator/OperatorFile.java
@@ -14,10 +14,10 @@
 import java.util.Locale;
 import java.util.Map;
 import java.util.Set;
-import wingroad.door.HouseRules;
-import wingroad.door.HouseRules.Place;
-import wingroad.door.HouseRules.Source;
-import wingroad.door.HouseRules.Tenant;
+import wingroad.door.FairQueueSettings;
+import wingroad.door.FairQueueSettings.Place;
+import wingroad.door.FairQueueSettings.Source;
+import wingroad.door.FairQueueSettings.Tenant;
 import wingroad.fleet.FleetRules;
 import wingroad.kdl.KdlReader;
 import wingroad.kdl.KdlWriter;
@@ -26,7 +26,7 @@
 import wingroad.kdl.Value;
 
 /** The operator's own file: what is switched on, and how. {@code door} and {@code fleet} are null where there is to be none. */
-public record OperatorFile(HouseRules door, FleetRules fleet) {
+public record OperatorFile(FairQueueSettings door, FleetRules fleet) {
     /** A file without end must not fill the memory. */
     private static final int LONGEST = 1 << 20;
     private static final int MOST_TENANTS = 1024;
@@ -64,7 +64,7 @@
             return new Read(null, problems);
         }
         Section all = new Section(new Node("the file", List.of(), Map.of(), d.nodes()), problems);
-        HouseRules door = null;
+        FairQueueSettings door = null;
         FleetRules fleet = null;
         for (Section s : all.within(Set.of("door", "fleet"), Set.of("door", "fleet"))) {
             if (s.name().equals("door")) {
@@ -77,8 +77,8 @@
         return problems.isEmpty() ? new Read(new OperatorFile(door, fleet), List.of()) : new Read(null, problems);
     }
 
-    private static HouseRules door(Section door) {
-        HouseRules usual = HouseRules.USUAL;
+    private static FairQueueSettings door(Section door) {
+        FairQueueSettings usual = FairQueueSettings.USUAL;
         List<Source> sources = new ArrayList<>();
         int names = usual.namesPerAddress();
         int mostWaiting = usual.mostWaiting();
@@ -107,7 +107,7 @@
         if (sources.isEmpty()) {
             sources = usual.sources();
         }
-        return new HouseRules(List.copyOf(sources), names, mostWaiting, others, Collections.unmodifiableMap(tenants));
+        return new FairQueueSettings(List.copyOf(sources), names, mostWaiting, others, Collections.unmodifiableMap(tenants));
     }
 
     private static void source(Section s, List<Source> sources) {
--- a/src/test/java/wingroad/door/FairDoorTest.java
+++ b/src/test/java/wingroad/door/FairDoorTest.java
@@ -13,24 +13,24 @@
 import java.util.Map;
 import java.util.TreeSet;
 import org.junit.jupiter.api.Test;
-import wingroad.door.HouseRules.Tenant;
+import wingroad.door.FairQueueSettings.Tenant;
 import wingroad.door.Play.Crowd;
 import wingroad.state.Submission.End;
 
 /** The door in virtual time: twelve places of 50 ms, 240 txns a second, unless a test says otherwise. */
 class FairDoorTest {
-    private final Play play = new Play().open(HouseRules.USUAL);
+    private final Play play = new Play().open(FairQueueSettings.USUAL);
 
-    private static HouseRules listed(Object... namesAndWeights) {
+    private static FairQueueSettings listed(Object... namesAndWeights) {
         Map<String, Tenant> tenants = new HashMap<>();
         for (int i = 0; i < namesAndWeights.length; i += 2) {
             tenants.put((String) namesAndWeights[i], new Tenant((double) namesAndWeights[i + 1], 1));
         }
-        return rules(tenants, HouseRules.USUAL.others(), 2000);
+        return rules(tenants, FairQueueSettings.USUAL.others(), 2000);
     }
 
-    private static HouseRules rules(Map<String, Tenant> tenants, Tenant others, int mostWaiting) {
-        return new HouseRules(HouseRules.USUAL.sources(), 8, mostWaiting, others, tenants);
+    private static FairQueueSettings rules(Map<String, Tenant> tenants, Tenant others, int mostWaiting) {
+        return new FairQueueSettings(FairQueueSettings.USUAL.sources(), 8, mostWaiting, others, tenants);
     }
 
     private List<Crowd> light() {
@@ -90,7 +90,7 @@
     @Test
     void aNewConnectionForEachTxnChangesNothing() {
         play.terms.put("clients-mark-retries", true);
-        play.open(HouseRules.USUAL);
+        play.open(FairQueueSettings.USUAL);
         List<Crowd> light = light();
         Crowd heavy = play.new Crowd("heavy", 120, 0);
         heavy.newConnections = true;
@@ -243,7 +243,7 @@
     @Test
     void withoutTheRightToAdviseNothingIsAdvised() {
         play.terms.put("may-advise-come-back", false);
-        play.open(HouseRules.USUAL);
+        play.open(FairQueueSettings.USUAL);
         Crowd heavy = play.new Crowd("heavy", 120, 0);
         play.until(3000);
         assertThat(heavy.declined).isGreaterThan(100);
@@ -298,7 +298,7 @@
         play.until(play.now + 500);
         playFor(8000);
         assertThat((double) b.committed / a.committed).isCloseTo(4, within(0.3));
-        play.door.rules(at(play.now), HouseRules.USUAL);
+        play.door.rules(at(play.now), FairQueueSettings.USUAL);
         play.until(play.now + 500);
         playFor(8000);
         assertThat((double) b.committed / a.committed).isCloseTo(1, within(0.1));
@@ -306,7 +306,7 @@
 
     @Test
     void aCapHoldsEvenWherePlacesStandEmpty() {
-        play.open(rules(Map.of("capped", new Tenant(1, 0.25)), HouseRules.USUAL.others(), 2000));
+        play.open(rules(Map.of("capped", new Tenant(1, 0.25)), FairQueueSettings.USUAL.others(), 2000));
         Crowd capped = play.new Crowd("capped", 60, 0);
         play.until(3000);
         playFor(3000);
@@ -315,7 +315,7 @@
 
     @Test
     void whereAllPlacesToWaitAreTakenALongQueueMakesRoom() {
-        play.open(rules(Map.of(), HouseRules.USUAL.others(), 40));
+        play.open(rules(Map.of(), FairQueueSettings.USUAL.others(), 40));
         Crowd heavy = play.new Crowd("heavy", 100, 0);
         heavy.type = WRITE;
         heavy.left = 5000;
--- a/src/test/java/wingroad/door/Play.java
+++ b/src/test/java/wingroad/door/Play.java
@@ -179,7 +179,7 @@
         return Duration.ofNanos((long) (ms * 1e6));
     }
 
-    Play open(HouseRules rules) {
+    Play open(FairQueueSettings rules) {
         Consumer<String> hears = line -> log.add(Math.round(now) + " " + line);
         door = new FairDoor(terms, rules, 11, hears);
         return this;
--- a/src/test/java/wingroad/operator/OperatorFileTest.java
+++ b/src/test/java/wingroad/operator/OperatorFileTest.java
@@ -8,14 +8,14 @@
 import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
-import wingroad.door.HouseRules;
-import wingroad.door.HouseRules.Place;
-import wingroad.door.HouseRules.Source;
-import wingroad.door.HouseRules.Tenant;
+import wingroad.door.FairQueueSettings;
+import wingroad.door.FairQueueSettings.Place;
+import wingroad.door.FairQueueSettings.Source;
+import wingroad.door.FairQueueSettings.Tenant;
 import wingroad.kdl.Problem;
 
 class OperatorFileTest {
-    private static HouseRules door(String within) {
+    private static FairQueueSettings door(String within) {
         OperatorFile.Read read = OperatorFile.read("door {\n" + within + "\n}");
         assertThat(read.problems()).isEmpty();
         return read.file().door();
@@ -28,12 +28,12 @@
 
     @Test
     void whatIsLeftOutIsAsUsual() {
-        assertThat(door("")).isEqualTo(HouseRules.USUAL);
+        assertThat(door("")).isEqualTo(FairQueueSettings.USUAL);
     }
 
     @Test
     void theDoorIsRead() {
-        HouseRules rules = door("""
+        FairQueueSettings rules = door("""
             tenant-from comment tenant
             tenant-from startup user
             tenant-from address
