Names: the door is FairQueues of QueuedTxns with AdmissionDecisions

Were FairDoor, Visit and Verdict; the operator's node is still called door, and so are the log's lines.

--- a/src/bench/java/wingroad/door/DoorBench.java
+++ b/src/bench/java/wingroad/door/DoorBench.java
@@ -31,8 +31,8 @@
     public int tenants;
 
     private String[] names;
-    private final ArrayDeque<Visit> in = new ArrayDeque<>();
-    private FairDoor door;
+    private final ArrayDeque<QueuedTxn> in = new ArrayDeque<>();
+    private FairQueues door;
     private Plain plain;
     private long now;
     private int next;
@@ -51,14 +51,14 @@
         }
     }
 
-    private static FairDoor newDoor() {
+    private static FairQueues newDoor() {
         Map<String, Object> terms = new HashMap<>();
         terms.put("txn-types", 1.0);
         terms.put("txn-type.0.sla-time", Duration.ofMillis(750));
         terms.put("txn-type.0.expiry", LEFT);
         terms.put("may-advise-come-back", true);
         terms.put("longest-come-back", Duration.ofMillis(500));
-        return new FairDoor(terms, FairQueueSettings.USUAL, 3, line -> { });
+        return new FairQueues(terms, FairQueueSettings.USUAL, 3, line -> { });
     }
 
     private void arrive() {
@@ -70,10 +70,10 @@
 
     private void pull() {
         Duration at = Duration.ofNanos(now);
-        for (Verdict v = door.next(at); v != null; v = door.next(at)) {
+        for (AdmissionDecision v = door.next(at); v != null; v = door.next(at)) {
             if (v.letIn()) {
-                in.add(v.visit());
-                door.submitted(at, v.visit());
+                in.add(v.queued());
+                door.submitted(at, v.queued());
             }
         }
     }
@@ -81,7 +81,7 @@
     @Benchmark
     public void door() {
         arrive();
-        Visit v = in.poll();
+        QueuedTxn v = in.poll();
         if (v != null) {
             Duration at = Duration.ofNanos(now);
             door.ended(at, v, End.COMMITTED, Duration.ofMillis(50));
@@ -141,14 +141,14 @@
     /** Heap that a door holds after so many tenants came with one txn each, and ten thousand more at once. */
     public static double stateBytes(int tenants, int doors) {
         long before = used();
-        FairDoor[] all = new FairDoor[doors];
+        FairQueues[] all = new FairQueues[doors];
         for (int d = 0; d < doors; d++) {
             all[d] = newDoor();
             crowd(all[d], tenants);
         }
         double held = used() - before;
         int waiting = 0;
-        for (FairDoor door : all) {
+        for (FairQueues door : all) {
             waiting += door.waiting();
         }
         if (waiting == 0) {
@@ -157,16 +157,16 @@
         return held / doors;
     }
 
-    private static void crowd(FairDoor door, int tenants) {
+    private static void crowd(FairQueues door, int tenants) {
         for (int i = 0; i < tenants + 10_000; i++) {
             Duration at = Duration.ofNanos(Math.min(i, tenants) * 20_000L);
             door.arrived(at, "t", 0, 1, LEFT, new Caller("10.1." + i, Map.of()), null, false);
-            for (Verdict v = door.next(at); v != null; v = door.next(at)) {
+            for (AdmissionDecision v = door.next(at); v != null; v = door.next(at)) {
                 if (v.letIn()) {
-                    door.submitted(at, v.visit());
+                    door.submitted(at, v.queued());
                     if (i < tenants) {
-                        door.ended(at, v.visit(), End.COMMITTED, Duration.ofMillis(50));
-                        door.closed(at, v.visit());
+                        door.ended(at, v.queued(), End.COMMITTED, Duration.ofMillis(50));
+                        door.closed(at, v.queued());
                     }
                 }
             }
--- a/src/main/java/wingroad/door/Accounts.java
+++ b/src/main/java/wingroad/door/Accounts.java
@@ -24,8 +24,8 @@
     /** Decaying count of what was let in, and when it was brought up to date. */
     final double[] letIn = new double[ROWS];
     final long[] letInAt = new long[ROWS];
-    final Visit[] first = new Visit[ROWS];
-    final Visit[] last = new Visit[ROWS];
+    final QueuedTxn[] first = new QueuedTxn[ROWS];
+    final QueuedTxn[] last = new QueuedTxn[ROWS];
     /** Its place in its lane's heap, or -1. */
     final int[] places = new int[ROWS];
     /** Set aside from the heap though something waits: by its cap, or by what its first one is held for. */
--- a/src/main/java/wingroad/door/FairDoor.java
+++ b/src/main/java/wingroad/door/FairQueues.java
@@ -22,7 +22,7 @@
  * happens, then pulls {@link #next} until it is null, and again at {@link #wakeAt}. Which member, whether to submit
  * again and what is declined once it is in stays with the module.
  */
-public final class FairDoor implements Accounts.Lanes {
+public final class FairQueues implements Accounts.Lanes {
     /** The part of the time that the module would hold a txn which may pass at the door: some is left for the module. */
     private static final double DOORS_PART = 0.9;
     /** Waits are foretold only for accounts with so many claims: one who asks for little is never declined by a forecast. */
@@ -60,7 +60,7 @@
     private final Map<Long, Lane> lanesByGroup = new HashMap<>();
     private final Wheel wheel = new Wheel();
     private final ArrayDeque<Lane> dirty = new ArrayDeque<>();
-    private final ArrayDeque<Verdict> ready = new ArrayDeque<>();
+    private final ArrayDeque<AdmissionDecision> ready = new ArrayDeque<>();
     private FairQueueSettings rules;
     private int waiting;
     private int bookings;
@@ -68,7 +68,7 @@
     private long letIn;
     private long declined;
 
-    public FairDoor(Map<String, Object> terms, FairQueueSettings rules, long seed, Consumer<String> log) {
+    public FairQueues(Map<String, Object> terms, FairQueueSettings rules, long seed, Consumer<String> log) {
         this.rules = rules;
         this.random = new Random(seed);
         this.log = log;
@@ -121,8 +121,8 @@
     /** The program ends: nothing waits past this time. */
     public void endBy(Duration at) {
         endBy = at;
-        for (Visit first : accounts.first) {
-            for (Visit v = first; v != null; v = v.behind) {
+        for (QueuedTxn first : accounts.first) {
+            for (QueuedTxn v = first; v != null; v = v.behind) {
                 Duration last = at.minus(Spans.millis(usual(v.type, at)));
                 wheel.set(v, Math.min(v.due(), last.toNanos()));
             }
@@ -135,16 +135,16 @@
      * @param name  the tenant's name as far as the txn or the connection tells one, or null
      * @param retry the client is known to have asked before
      */
-    public Visit arrived(Duration now, String txn, int type, int group, Duration left, Caller caller, String name,
+    public QueuedTxn arrived(Duration now, String txn, int type, int group, Duration left, Caller caller, String name,
                          boolean retry) {
         long nanos = now.toNanos();
         Lane lane = lane(group, types[type].toPrimary());
         int row = account(nanos, lane, caller, name);
         boolean told = row >= 0 && keepsTime(nanos, row, caller, retry);
-        Visit v = new Visit(txn, type, lane.number, row, now, caller);
+        QueuedTxn v = new QueuedTxn(txn, type, lane.number, row, now, caller);
         if (row < 0) {
-            v.place = Visit.Place.OVER;
-            ready.add(new Verdict(v, false, mayAdvise ? spread(longestAdvice, 0.9) : null));
+            v.place = QueuedTxn.Place.OVER;
+            ready.add(new AdmissionDecision(v, false, mayAdvise ? spread(longestAdvice, 0.9) : null));
             return v;
         }
         long budget = mayWait(types[type], now, left).toNanos();
@@ -162,7 +162,7 @@
         return v;
     }
 
-    private void enqueue(Visit v, int row, Lane lane, long now) {
+    private void enqueue(QueuedTxn v, int row, Lane lane, long now) {
         v.before = accounts.last[row];
         if (v.before == null) {
             accounts.first[row] = v;
@@ -188,7 +188,7 @@
         lane.heaps[accounts.first[row].type].add(row);
     }
 
-    private void unqueue(Visit v) {
+    private void unqueue(QueuedTxn v) {
         int row = v.row;
         Lane lane = lanes.get(v.lane);
         boolean wasFirst = v.before == null;
@@ -220,11 +220,11 @@
     }
 
     /** A submission of a txn that is in goes out. */
-    public void submitted(Duration now, Visit v) {
+    public void submitted(Duration now, QueuedTxn v) {
         Lane lane = lanes.get(v.lane);
         v.submissionsOut++;
-        if (v.place == Visit.Place.HELD) {
-            v.place = Visit.Place.OUT;
+        if (v.place == QueuedTxn.Place.HELD) {
+            v.place = QueuedTxn.Place.OUT;
             lane.heldAll--;
             lane.held[v.type]--;
             lane.out++;
@@ -237,7 +237,7 @@
     }
 
     /** A submission of a txn that is in has ended. */
-    public void ended(Duration now, Visit v, End end, Duration took) {
+    public void ended(Duration now, QueuedTxn v, End end, Duration took) {
         Lane lane = lanes.get(v.lane);
         double ms = Spans.ms(took);
         v.submissionsOut--;
@@ -246,24 +246,24 @@
             double share = ms / Math.max(0.01, usual(v.type, now));
             usual[v.type].add(now, ms);
             works[v.type].add(now, v.work);
-            lane.window.answered(now.toNanos(), v.place == Visit.Place.OUT ? v.round : -1, share, took.toNanos());
+            lane.window.answered(now.toNanos(), v.place == QueuedTxn.Place.OUT ? v.round : -1, share, took.toNanos());
         }
-        if (v.submissionsOut == 0 && (v.place == Visit.Place.OUT || v.place == Visit.Place.STUCK)) {
-            lane.out -= v.place == Visit.Place.OUT ? 1 : 0;
+        if (v.submissionsOut == 0 && (v.place == QueuedTxn.Place.OUT || v.place == QueuedTxn.Place.STUCK)) {
+            lane.out -= v.place == QueuedTxn.Place.OUT ? 1 : 0;
             wheel.cancel(v);
             hold(v, lane);
             touch(lane);
         }
     }
 
-    private void hold(Visit v, Lane lane) {
-        v.place = Visit.Place.HELD;
+    private void hold(QueuedTxn v, Lane lane) {
+        v.place = QueuedTxn.Place.HELD;
         lane.heldAll++;
         lane.held[v.type]++;
     }
 
     /** The txn has its final answer, or its client has left. */
-    public void closed(Duration now, Visit v) {
+    public void closed(Duration now, QueuedTxn v) {
         Lane lane = lanes.get(v.lane);
         wheel.cancel(v);
         switch (v.place) {
@@ -282,11 +282,11 @@
                 return;
             }
         }
-        v.place = Visit.Place.OVER;
+        v.place = QueuedTxn.Place.OVER;
         touch(lane);
     }
 
-    private void leaves(Visit v, Lane lane) {
+    private void leaves(QueuedTxn v, Lane lane) {
         int row = v.row;
         accounts.in[row]--;
         // What it has cost is known now: the account is charged the difference.
@@ -307,14 +307,14 @@
     // ---- decisions ----
 
     /** The next verdict, or null where there is none for now. */
-    public Verdict next(Duration now) {
+    public AdmissionDecision next(Duration now) {
         long nanos = now.toNanos();
         while (true) {
             if (!ready.isEmpty()) {
                 return ready.poll();
             }
             Wheel.Timer due = wheel.poll(nanos);
-            if (due instanceof Visit v) {
+            if (due instanceof QueuedTxn v) {
                 overdue(v, now);
             } else if (due instanceof Booking b) {
                 drop(b);
@@ -334,14 +334,14 @@
         return due < 0 ? null : Duration.ofNanos(due);
     }
 
-    private void overdue(Visit v, Duration now) {
+    private void overdue(QueuedTxn v, Duration now) {
         Lane lane = lanes.get(v.lane);
-        if (v.place == Visit.Place.WAITING) {
+        if (v.place == QueuedTxn.Place.WAITING) {
             unqueue(v);
             decline(v, now, 0);
-        } else if (v.place == Visit.Place.OUT) {
+        } else if (v.place == QueuedTxn.Place.OUT) {
             // Guards against a silent member that would fill the lane's places with what it never answers.
-            v.place = Visit.Place.STUCK;
+            v.place = QueuedTxn.Place.STUCK;
             lane.out--;
         }
         touch(lane);
@@ -374,7 +374,7 @@
         }
     }
 
-    private void letIn(Visit v, int row, Lane lane, long nanos, Duration now) {
+    private void letIn(QueuedTxn v, int row, Lane lane, long nanos, Duration now) {
         double tag = accounts.tags[row];
         lane.virtualTime = Math.max(lane.virtualTime, tag);
         v.charged = works[v.type].usual(now);
@@ -389,13 +389,13 @@
         lane.letIn(nanos);
         hold(v, lane);
         letIn++;
-        ready.add(new Verdict(v, true, null));
+        ready.add(new AdmissionDecision(v, true, null));
     }
 
-    private void decline(Visit v, Duration now, long budget) {
-        v.place = Visit.Place.OVER;
+    private void decline(QueuedTxn v, Duration now, long budget) {
+        v.place = QueuedTxn.Place.OVER;
         declined++;
-        ready.add(new Verdict(v, false, book(v, now, budget)));
+        ready.add(new AdmissionDecision(v, false, book(v, now, budget)));
     }
 
     /**
@@ -415,7 +415,7 @@
         if (longest == row) {
             return false;
         }
-        Visit gives = accounts.last[longest];
+        QueuedTxn gives = accounts.last[longest];
         wheel.cancel(gives);
         unqueue(gives);
         decline(gives, now, 0);
@@ -439,11 +439,11 @@
     // ---- when to come back ----
 
     /** For a txn that the module declines: when its client should come back, or null where none may be told. */
-    public Duration advice(Duration now, Visit v) {
-        return v.place == Visit.Place.OVER ? null : book(v, now, 0);
+    public Duration advice(Duration now, QueuedTxn v) {
+        return v.place == QueuedTxn.Place.OVER ? null : book(v, now, 0);
     }
 
-    private Duration book(Visit v, Duration now, long budget) {
+    private Duration book(QueuedTxn v, Duration now, long budget) {
         if (!mayAdvise || longestAdvice.isZero()) {
             return null;
         }
--- a/src/main/java/wingroad/door/Visit.java
+++ b/src/main/java/wingroad/door/QueuedTxn.java
@@ -4,7 +4,7 @@
 import wingroad.state.Wheel;
 
 /** One txn at the door: from its arrival to its final answer. Its timer tells when it has waited or been out too long. */
-public final class Visit extends Wheel.Timer {
+public final class QueuedTxn extends Wheel.Timer {
     /** Where it is. */
     enum Place { WAITING, HELD, OUT, STUCK, OVER }
 
@@ -21,10 +21,10 @@
     /** The window's round in which its last submission began. */
     long round;
     Place place = Place.WAITING;
-    Visit behind;
-    Visit before;
+    QueuedTxn behind;
+    QueuedTxn before;
 
-    Visit(String txn, int type, int lane, int row, Duration arrivedAt, Caller caller) {
+    QueuedTxn(String txn, int type, int lane, int row, Duration arrivedAt, Caller caller) {
         this.txn = txn;
         this.type = type;
         this.lane = lane;
--- a/src/main/java/wingroad/driver/Driver.java
+++ b/src/main/java/wingroad/driver/Driver.java
@@ -18,7 +18,7 @@
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicReference;
 import sun.misc.Signal;
-import wingroad.door.FairDoor;
+import wingroad.door.FairQueues;
 import wingroad.fleet.FleetRules;
 import wingroad.operator.OperatorFile;
 import wingroad.protocol.MemberList;
@@ -54,7 +54,7 @@
     /** The operator's own file, or null: all that it could switch on is off. */
     private Path operatorPath;
     private OperatorFile operator;
-    private FairDoor door;
+    private FairQueues door;
     /** The driver's part in the fleet, or null. */
     private FleetPart fleet;
     /** The plan of work on machines at this driver, or null. */
@@ -253,7 +253,7 @@
 
     private void openDoor() {
         if (door == null && operator != null && operator.door() != null) {
-            door = new FairDoor(Terms.of(configuration.settings()), operator.door(), configuration.seed(), log::line);
+            door = new FairQueues(Terms.of(configuration.settings()), operator.door(), configuration.seed(), log::line);
             exchange.passBy(door);
             clients.tellWhoAsks(operator.door());
             log.line("door: " + operator.door().tenants().size() + " tenants listed, "
--- a/src/main/java/wingroad/driver/Exchange.java
+++ b/src/main/java/wingroad/driver/Exchange.java
@@ -7,10 +7,10 @@
 import java.util.Map;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
+import wingroad.door.AdmissionDecision;
 import wingroad.door.Caller;
-import wingroad.door.FairDoor;
-import wingroad.door.Verdict;
-import wingroad.door.Visit;
+import wingroad.door.FairQueues;
+import wingroad.door.QueuedTxn;
 import wingroad.protocol.Statement;
 import wingroad.routing.Decision;
 import wingroad.routing.Router;
@@ -96,7 +96,7 @@
         /** It was handed to the member side at some time: it may be at a member. */
         boolean carried;
         /** Its way through the door, or null where there is none. */
-        Visit visit;
+        QueuedTxn queued;
 
         Open(Statement statement, int type, long session, Asker asker, Duration arrivedAt, Duration expiresAt) {
             this.arrivedAt = arrivedAt;
@@ -115,7 +115,7 @@
     private final Consumer<Throwable> onBug;
     private final Map<String, Open> open = new HashMap<>();
     /** Who goes next to the module, or null: each at once. */
-    private FairDoor door;
+    private FairQueues door;
     /** Who sees what happens, or null. */
     private Watcher watcher;
     private Carrier carrier;
@@ -147,7 +147,7 @@
     }
 
     /** From now on clients' txns pass by this door; not while any are open. */
-    void passBy(FairDoor fair) {
+    void passBy(FairQueues fair) {
         door = fair;
         if (endBy != null) {
             fair.endBy(endBy);
@@ -207,7 +207,7 @@
             if (!byDoor) {
                 letIn(now, txn, t, Duration.ZERO);
             } else {
-                t.visit = door.arrived(now, txn, type, s.group(), left, caller, name, s.retry());
+                t.queued = door.arrived(now, txn, type, s.group(), left, caller, name, s.retry());
                 changed();
             }
         } catch (RuntimeException bug) {
@@ -248,8 +248,8 @@
             watch(e.member(), end, took, told);
         }
         Open known = open.get(e.txn());
-        if (known != null && known.visit != null) {
-            door.ended(now, known.visit, end, took);
+        if (known != null && known.queued != null) {
+            door.ended(now, known.queued, end, took);
         }
         Open txn = end == Submission.End.COMMITTED ? take(e.txn()) : null;
         if (txn != null) {
@@ -379,26 +379,26 @@
         if (d != null || door == null) {
             return d;
         }
-        for (Verdict v = door.next(now); v != null; v = door.next(now)) {
+        for (AdmissionDecision v = door.next(now); v != null; v = door.next(now)) {
             pass(v, now);
         }
         return router.next(now);
     }
 
-    private void pass(Verdict v, Duration now) {
-        Open t = open.get(v.visit().txn());
+    private void pass(AdmissionDecision v, Duration now) {
+        Open t = open.get(v.queued().txn());
         if (t == null) {
-            door.closed(now, v.visit());
+            door.closed(now, v.queued());
         } else if (!v.letIn()) {
-            take(v.visit().txn());
+            take(v.queued().txn());
             seen(t, now, false);
             t.asker.declined(v.comeBack());
         } else {
             try {
-                letIn(now, v.visit().txn(), t, v.visit().waited(now));
+                letIn(now, v.queued().txn(), t, v.queued().waited(now));
             } catch (RuntimeException bug) {
                 onBug.accept(bug);
-                take(v.visit().txn());
+                take(v.queued().txn());
                 t.asker.rolledBack();
             }
         }
@@ -407,8 +407,8 @@
     /** The txn has its final answer; null where it had it before. */
     private Open take(String txn) {
         Open t = open.remove(txn);
-        if (t != null && t.visit != null) {
-            door.closed(clock.now(), t.visit);
+        if (t != null && t.queued != null) {
+            door.closed(clock.now(), t.queued);
             changed();
         }
         return t;
@@ -422,8 +422,8 @@
                     Errand none = new Errand(d.txn(), d.submission(), d.member(), null, now);
                     loop.run(() -> ended(none, Submission.End.MOOT, Duration.ZERO, Told.NOTHING, null));
                 } else {
-                    if (txn.visit != null) {
-                        door.submitted(now, txn.visit);
+                    if (txn.queued != null) {
+                        door.submitted(now, txn.queued);
                     }
                     txn.carried = true;
                     Duration last = endBy == null ? txn.expiresAt : min(txn.expiresAt, endBy);
@@ -434,7 +434,7 @@
             case DECLINE -> {
                 Open txn = open.get(d.txn());
                 if (txn != null) {
-                    Duration advice = txn.visit == null ? d.when() : door.advice(now, txn.visit);
+                    Duration advice = txn.queued == null ? d.when() : door.advice(now, txn.queued);
                     take(d.txn());
                     seen(txn, now, false);
                     txn.asker.declined(advice);
--- a/src/test/java/wingroad/door/FairDoorTest.java
+++ b/src/test/java/wingroad/door/FairQueuesTest.java
@@ -18,7 +18,7 @@
 import wingroad.state.Submission.End;
 
 /** The door in virtual time: twelve places of 50 ms, 240 txns a second, unless a test says otherwise. */
-class FairDoorTest {
+class FairQueuesTest {
     private final Play play = new Play().open(FairQueueSettings.USUAL);
 
     private static FairQueueSettings listed(Object... namesAndWeights) {
@@ -230,7 +230,7 @@
         for (int i = 0; i < 1000; i++) {
             play.door.arrived(at(0), "t" + i, 0, 7, at(2000), new Caller("10.0.0.1", Map.of()), null, false);
         }
-        for (Verdict v = play.door.next(at(0)); v != null; v = play.door.next(at(0))) {
+        for (AdmissionDecision v = play.door.next(at(0)); v != null; v = play.door.next(at(0))) {
             if (!v.letIn()) {
                 assertThat(v.comeBack()).isBetween(at(10), at(500));
                 told.add(v.comeBack());
@@ -335,17 +335,17 @@
         for (int i = 0; i < 10_000; i++) {
             play.door.arrived(at(0), "t" + i, 0, 7, at(2000), new Caller("10." + i, Map.of()), null, false);
         }
-        List<Visit> in = new ArrayList<>();
+        List<QueuedTxn> in = new ArrayList<>();
         for (double now = 0; now < 3000; now += 5) {
-            for (Verdict v = play.door.next(at(now)); v != null; v = play.door.next(at(now))) {
+            for (AdmissionDecision v = play.door.next(at(now)); v != null; v = play.door.next(at(now))) {
                 verdicts++;
                 if (v.letIn()) {
-                    play.door.submitted(at(now), v.visit());
-                    in.add(v.visit());
+                    play.door.submitted(at(now), v.queued());
+                    in.add(v.queued());
                 }
             }
             if (!in.isEmpty() && now % 50 == 0) {
-                for (Visit v : in) {
+                for (QueuedTxn v : in) {
                     play.door.ended(at(now), v, End.COMMITTED, at(50));
                     play.door.closed(at(now), v);
                 }
@@ -360,10 +360,10 @@
     @Test
     void aSilentMemberFillsNoPlacesForLong() {
         Caller caller = new Caller("10.0.0.1", Map.of());
-        List<Visit> stuck = new ArrayList<>();
+        List<QueuedTxn> stuck = new ArrayList<>();
         for (int i = 0; i < 8; i++) {
             play.door.arrived(at(i), "s" + i, 0, 7, at(2000), caller, null, false);
-            Visit v = play.door.next(at(i)).visit();
+            QueuedTxn v = play.door.next(at(i)).queued();
             play.door.submitted(at(i), v);
             stuck.add(v);
         }
@@ -383,7 +383,7 @@
     @Test
     void aClientThatLeavesWhileItsTxnWaitsLeavesNothingBehind() {
         Caller caller = new Caller("10.0.0.1", Map.of());
-        List<Visit> all = new ArrayList<>();
+        List<QueuedTxn> all = new ArrayList<>();
         for (int i = 0; i < 30; i++) {
             all.add(play.door.arrived(at(0), "t" + i, WRITE, 7, at(5000), caller, null, false));
         }
--- a/src/test/java/wingroad/door/Play.java
+++ b/src/test/java/wingroad/door/Play.java
@@ -24,7 +24,7 @@
     final class Asker {
         final Crowd crowd;
         Caller caller;
-        Visit visit;
+        QueuedTxn queued;
         double askedAt;
         double toldAt = -1;
 
@@ -39,7 +39,7 @@
             asked.put(id, this);
             crowd.asked++;
             boolean retry = toldAt >= 0;
-            visit = door.arrived(at(now), id, crowd.type, crowd.group, at(crowd.left), caller, crowd.name.get(), retry);
+            queued = door.arrived(at(now), id, crowd.type, crowd.group, at(crowd.left), caller, crowd.name.get(), retry);
             pull();
         }
 
@@ -49,7 +49,7 @@
                 crowd.letIn += committed ? 1 : 0;
             }
             toldAt = -1;
-            visit = null;
+            queued = null;
             if (committed) {
                 crowd.committed++;
                 crowd.times.add(now - askedAt);
@@ -134,7 +134,7 @@
     final List<Crowd> crowds = new ArrayList<>();
     final List<String> log = new ArrayList<>();
     final Random random = new Random(5);
-    FairDoor door;
+    FairQueues door;
     double now;
     /** Places at the members, and how long one txn takes. */
     int places = 12;
@@ -181,7 +181,7 @@
 
     Play open(FairQueueSettings rules) {
         Consumer<String> hears = line -> log.add(Math.round(now) + " " + line);
-        door = new FairDoor(terms, rules, 11, hears);
+        door = new FairQueues(terms, rules, 11, hears);
         return this;
     }
 
@@ -203,13 +203,13 @@
             return;
         }
         pulling = true;
-        for (Verdict v = door.next(at(now)); v != null; v = door.next(at(now))) {
-            String id = v.visit().txn();
+        for (AdmissionDecision v = door.next(at(now)); v != null; v = door.next(at(now))) {
+            String id = v.queued().txn();
             Asker a = asked.get(id);
             if (a == null) {
-                door.closed(at(now), v.visit());
+                door.closed(at(now), v.queued());
             } else if (v.letIn()) {
-                a.visit = v.visit();
+                a.queued = v.queued();
                 held.add(id);
                 submit();
             } else {
@@ -237,7 +237,7 @@
             out++;
             sentAt.put(id, now);
             queue.add(id);
-            door.submitted(at(now), a.visit);
+            door.submitted(at(now), a.queued);
         }
         begin();
     }
@@ -255,8 +255,8 @@
         busy--;
         out--;
         Asker a = asked.remove(id);
-        door.ended(at(now), a.visit, End.COMMITTED, at(now - sentAt.remove(id)));
-        door.closed(at(now), a.visit);
+        door.ended(at(now), a.queued, End.COMMITTED, at(now - sentAt.remove(id)));
+        door.closed(at(now), a.queued);
         later(now, () -> a.answered(true, null));
         submit();
         pull();
