--- a/src/main/java/wingroad/driver/ListDesk.java
+++ b/src/main/java/wingroad/driver/ListDesk.java
@@ -5,7 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.function.Consumer;
-import wingroad.duty.Hearsay;
+import wingroad.duty.RelayHealth;
 import wingroad.fleet.Fleet;
 import wingroad.fleet.FleetRules;
 import wingroad.protocol.Json;
@@ -15,7 +15,7 @@
 
 /**
  * Discovery asked by one driver for all: hands on what the owner finds, takes what is handed on, and follows discovery itself
- * whenever {@link Hearsay} does not go by the owner. On the loop's thread, but for {@link #message}.
+ * whenever {@link RelayHealth} does not go by the owner. On the loop's thread, but for {@link #message}.
  */
 final class ListDesk {
     private final EventLoop loop;
@@ -24,7 +24,7 @@
     private final Consumer<MemberList> learn;
     private final Consumer<String> log;
     private final Duration look;
-    private final Hearsay hearsay;
+    private final RelayHealth relayHealth;
     private Fleet fleet;
     private long version;
     private boolean goesBy;
@@ -38,10 +38,10 @@
         this.log = log;
         look = rules.lease().beat().dividedBy(2);
         // Three of the owner's words may be lost; as long may it be behind what is known here.
-        hearsay = new Hearsay(rules.lease().beat().multipliedBy(3), rules.lease().beat().multipliedBy(3),
+        relayHealth = new RelayHealth(rules.lease().beat().multipliedBy(3), rules.lease().beat().multipliedBy(3),
             rules.listCheck());
         version = known;
-        hearsay.found(known, clock.now());
+        relayHealth.found(known, clock.now());
     }
 
     void begin(Fleet with) {
@@ -51,7 +51,7 @@
 
     /** A list that this driver has found by itself. */
     void found(MemberList list) {
-        hearsay.found(list.version(), clock.now());
+        relayHealth.found(list.version(), clock.now());
         if (list.version() > version) {
             hand(version, list);
             version = list.version();
@@ -72,15 +72,15 @@
 
     private void look() {
         Duration now = clock.now();
-        boolean by = hearsay.goesByOwner(now);
+        boolean by = relayHealth.goesByOwner(now);
         if (by != goesBy) {
             goesBy = by;
             log.accept(by ? "list: goes by the owner, holds " + version : "list: asks discovery itself, holds " + version);
         }
         if (by) {
             discovery.followNoMore();
-            if (hearsay.checkDue(now)) {
-                hearsay.checks(now);
+            if (relayHealth.checkDue(now)) {
+                relayHealth.checks(now);
                 discovery.fetch();
             }
         } else {
@@ -116,7 +116,7 @@
                     ((Number) l.get(8)).doubleValue(), (Boolean) l.get(9)));
             }
         }
-        switch (hearsay.told(epoch, Json.number(m, "since").longValue(), rev, whole, m.containsKey("news"), clock.now())) {
+        switch (relayHealth.told(epoch, Json.number(m, "since").longValue(), rev, whole, m.containsKey("news"), clock.now())) {
             case TAKE -> {
                 version = rev;
                 discovery.holds(rev);
--- a/src/main/java/wingroad/duty/Hearsay.java
+++ b/src/main/java/wingroad/duty/RelayHealth.java
@@ -7,7 +7,7 @@
  * one is heard often, under an epoch that is not below any seen, and is not contradicted by what it finds in a slow call
  * of its own. Asking itself is always safe; it only costs more.
  */
-public final class Hearsay {
+public final class RelayHealth {
     private final Duration silentAfter;
     private final Duration staleAfter;
     private final Duration checkEvery;
@@ -24,7 +24,7 @@
      * @param staleAfter  so long may it tell of something older than what is held
      * @param checkEvery  how often discovery is asked all the same
      */
-    public Hearsay(Duration silentAfter, Duration staleAfter, Duration checkEvery) {
+    public RelayHealth(Duration silentAfter, Duration staleAfter, Duration checkEvery) {
         this.silentAfter = silentAfter;
         this.staleAfter = staleAfter;
         this.checkEvery = checkEvery;
--- a/src/test/java/wingroad/duty/HearsayTest.java
+++ b/src/test/java/wingroad/duty/RelayHealthTest.java
@@ -1,16 +1,16 @@
 package wingroad.duty;
 
 import static org.assertj.core.api.Assertions.assertThat;
-import static wingroad.duty.Hearsay.Use.ASK;
-import static wingroad.duty.Hearsay.Use.NONE;
-import static wingroad.duty.Hearsay.Use.TAKE;
+import static wingroad.duty.RelayHealth.Use.ASK;
+import static wingroad.duty.RelayHealth.Use.NONE;
+import static wingroad.duty.RelayHealth.Use.TAKE;
 
 import java.time.Duration;
 import org.junit.jupiter.api.Test;
 
 /** Whether a driver goes by the owner of discovery's list. */
-class HearsayTest {
-    private final Hearsay h = new Hearsay(Duration.ofMillis(900), Duration.ofMillis(900), Duration.ofSeconds(60));
+class RelayHealthTest {
+    private final RelayHealth h = new RelayHealth(Duration.ofMillis(900), Duration.ofMillis(900), Duration.ofSeconds(60));
 
     private static Duration at(long ms) {
         return Duration.ofMillis(ms);
