--- a/src/main/java/wingroad/driver/ChoreDesk.java
+++ b/src/main/java/wingroad/driver/ChoreExecutor.java
@@ -16,7 +16,7 @@
  * Where chores become txns: of a type of their own, once-only and worth less than any client's, with the lease's end for
  * an expiry. So a statement is neither sent nor waited for once another driver may own the duty.
  */
-final class ChoreDesk implements Runner {
+final class ChoreExecutor implements Runner {
     /** What a chore is worth beside the least of the clients' types. */
     private static final double WORTH = 0.01;
     /** A statement that can't end before its lease has so little left is not begun. */
@@ -28,7 +28,7 @@
     private final Duration expiry;
     private volatile Consumer<Runnable> answers;
 
-    ChoreDesk(EventLoop loop, Exchange exchange, Map<String, Object> terms) {
+    ChoreExecutor(EventLoop loop, Exchange exchange, Map<String, Object> terms) {
         this.loop = loop;
         this.exchange = exchange;
         TxnType[] types = TxnType.all(terms);
--- a/src/main/java/wingroad/driver/Driver.java
+++ b/src/main/java/wingroad/driver/Driver.java
@@ -58,7 +58,7 @@
     /** The driver's part in the fleet, or null. */
     private FleetPart fleet;
     /** The plan of work on machines at this driver, or null. */
-    private final WorkDesk work;
+    private final WorkAgent work;
     private final List<String> zones;
     private final List<String> kinds;
     /** The list comes only when the module asks for it. */
@@ -94,7 +94,7 @@
         loop = new EventLoop(c.descriptors() - Math.min(24, c.descriptors() / 4),
             Math.min(c.memory() / 8, Runtime.getRuntime().maxMemory() / 4), log::fault);
         Router router = new TxnRouter(operator == null || operator.fleet() == null ? terms
-            : ChoreDesk.withType(terms), c.seed(), log::line);
+            : ChoreExecutor.withType(terms), c.seed(), log::line);
         exchange = new Exchange(loop, clock, router, (Duration) terms.get("connect-time-out"), log::fault);
         clients = new Clients(loop, exchange, counters, c.names("grades"), terms,
             g -> groups.isEmpty() || groups.contains(g));
@@ -103,7 +103,7 @@
             () -> exchange.router().listFailed(clock.now()));
         exchange.meet(members, discovery, clients::closeOneIdle);
         work = operator == null || operator.fleet() == null || operator.fleet().work() == null ? null
-            : new WorkDesk(loop, clock, ChoreDesk.settled(operator.fleet(), terms), TxnType.all(terms), members, this::tell, log::line);
+            : new WorkAgent(loop, clock, ChoreExecutor.settled(operator.fleet(), terms), TxnType.all(terms), members, this::tell, log::line);
         if (work != null) {
             exchange.watch(work);
         }
@@ -244,7 +244,7 @@
     /** Where it can't begin, clients are served all the same. */
     private void joinFleet() {
         try {
-            FleetRules rules = work == null ? operator.fleet() : ChoreDesk.settled(operator.fleet(), Terms.of(configuration.settings()));
+            FleetRules rules = work == null ? operator.fleet() : ChoreExecutor.settled(operator.fleet(), Terms.of(configuration.settings()));
             fleet = FleetPart.begin(rules, loop, clock, exchange, discovery, configuration, !asked, this::learn, work, log);
         } catch (IOException e) {
             log.line("fleet: can't begin: " + e.getMessage());
--- a/src/main/java/wingroad/driver/ListDesk.java
+++ b/src/main/java/wingroad/driver/ListRelay.java
@@ -17,7 +17,7 @@
  * Discovery asked by one driver for all: hands on what the owner finds, takes what is handed on, and follows discovery itself
  * whenever {@link RelayHealth} does not go by the owner. On the loop's thread, but for {@link #message}.
  */
-final class ListDesk {
+final class ListRelay {
     private final EventLoop loop;
     private final Clock clock;
     private final Discovery discovery;
@@ -29,7 +29,7 @@
     private long version;
     private boolean goesBy;
 
-    ListDesk(EventLoop loop, Clock clock, Discovery discovery, FleetRules rules, long known, Consumer<MemberList> learn,
+    ListRelay(EventLoop loop, Clock clock, Discovery discovery, FleetRules rules, long known, Consumer<MemberList> learn,
              Consumer<String> log) {
         this.loop = loop;
         this.clock = clock;
--- a/src/main/java/wingroad/driver/WorkDesk.java
+++ b/src/main/java/wingroad/driver/WorkAgent.java
@@ -33,7 +33,7 @@
  * The plan of work at this driver: makes the lists that the module is told from discovery's and the plan's, says of itself what is
  * still at machines that drain, and conducts where that is its duty. On the loop's thread, but for the calls of {@link Worker}.
  */
-final class WorkDesk implements Worker, Exchange.Watcher {
+final class WorkAgent implements Worker, Exchange.Watcher {
     /** What is seen of members counts for a lease; within it the conductor asks this often. */
     private static final int ASKS = 3;
 
@@ -69,7 +69,7 @@
     private long harmed;
     private boolean wasCurrent;
 
-    WorkDesk(EventLoop loop, Clock clock, FleetRules fleet, TxnType[] types, Members members, Consumer<MemberList> learn,
+    WorkAgent(EventLoop loop, Clock clock, FleetRules fleet, TxnType[] types, Members members, Consumer<MemberList> learn,
              Consumer<String> log) {
         this.loop = loop;
         this.clock = clock;
--- a/src/test/java/wingroad/fleet/SimFleet.java
+++ b/src/test/java/wingroad/fleet/SimFleet.java
@@ -159,7 +159,7 @@
                 (epoch, what) -> { });
             work = new Chores(this, rules, councilSession, this::effect);
             if (SimFleet.this.work != null) {
-                councilSession.work(SimFleet.this.work.desk(this));
+                councilSession.work(SimFleet.this.work.agent(this));
             }
             councilSession.start(work);
         }
--- a/src/test/java/wingroad/fleet/SimWork.java
+++ b/src/test/java/wingroad/fleet/SimWork.java
@@ -179,14 +179,14 @@
 
     // ---- a driver ----
 
-    Worker desk(Proc p) {
-        Desk d = new Desk(p);
+    Worker agent(Proc p) {
+        Agent d = new Agent(p);
         p.after(LOOK, d::look);
         p.after(Duration.ofMillis(20), d::send);
         return d;
     }
 
-    private final class Desk implements Worker {
+    private final class Agent implements Worker {
         private final Proc proc;
         private final View view;
         private final PlanCopy planCopy = new PlanCopy();
@@ -201,7 +201,7 @@
         private long served;
         private long harmed;
 
-        Desk(Proc proc) {
+        Agent(Proc proc) {
             this.proc = proc;
             view = new View(rules, proc.now(), SimFleet.LEASE);
             members.values().forEach(m -> observations.listed(m.uid, m.group, false, true));
