--- a/src/main/java/wingroad/fleet/ConsensusNode.java
+++ b/src/main/java/wingroad/fleet/ConsensusNode.java
@@ -40,8 +40,6 @@
 import wingroad.fleet.Net.Wire;
 import wingroad.protocol.Json;
 import wingroad.work.LostDrivers;
-import wingroad.work.Plan;
-import wingroad.work.WorkRules;
 
 /**
  * A voter: its part in the agreed log, the state that follows from it, and the drivers that are attached to it. Free of
@@ -797,13 +795,7 @@
         private String endpoint = "";
         private String session = "";
         private Duration heardAt = host.now();
-        private long sentRevision = -1;
-        private long sentBeat = -1;
-        private boolean sentOpen;
-        /** Up to which change of the plan it has been told; whether it has been told at all. */
-        private long sentWork;
-        private boolean toldWork;
-        private List<Object> sentSums = List.of();
+        private SessionFeed feed = new SessionFeed();
         private final Set<String> asks = new LinkedHashSet<>();
 
         @Override
@@ -968,10 +960,7 @@
                 case "again" -> {
                     // The same connection goes on under another session.
                     session = name + "/" + MessageCodec.text(m, "run");
-                    sentRevision = -1;
-                    sentBeat = -1;
-                    sentWork = 0;
-                    toldWork = false;
+                    feed = new SessionFeed();
                     push();
                 }
                 case "status" -> wire.send(MessageCodec.message("status", "status", status()));
@@ -997,51 +986,11 @@
             return op.duty().isEmpty() && !now.contains(op.to()) ? "'" + op.to() + "' does not vote" : "";
         }
 
-        /** The plan goes before the beat that renews the lease on it: both come in one order. */
-        private void pushWork() {
-            Plan plan = register.plan();
-            Register.Duty d = register.duty(WorkRules.CONDUCTOR);
-            if (d == null) {
-                // Nobody's file says anything of work.
-                return;
-            }
-            boolean conducts = d.owner().equals(session);
-            List<Object> sums = conducts ? plan.sums() : sentSums;
-            if (!toldWork || plan.changes() > sentWork || !sums.equals(sentSums)) {
-                Map<String, Object> m = MessageCodec.message("plan", "news", plan.news(toldWork ? sentWork : 0), "of",
-                    register.revision());
-                if (conducts) {
-                    m.put("sums", sums);
-                    m.put("live", register.sessions().stream().map(Register.Session::name).toList());
-                }
-                wire.send(m);
-                toldWork = true;
-                sentWork = plan.changes();
-                sentSums = sums;
-            }
-        }
-
         /** Tells what is settled and not told yet. */
         private void push() {
-            if (session.isEmpty() || node == null) {
-                return;
-            }
-            Register.Session s = register.session(session);
-            pushWork();
-            List<Object> duties = new ArrayList<>();
-            for (Register.Duty d : register.duties()) {
-                if (d.revision() > sentRevision) {
-                    duties.add(List.of(d.name(), d.owner(), d.epoch(), d.turn(), d.outcome(), d.wanted()));
-                }
+            if (!session.isEmpty() && node != null) {
+                feed.push(register, wire, session);
             }
-            long beat = s == null ? -1 : s.beat();
-            if (beat != sentBeat || !duties.isEmpty() || sentRevision < 0 || sentOpen != (s != null)) {
-                sentBeat = beat;
-                sentOpen = s != null;
-                wire.send(MessageCodec.message("settled", "rev", register.revision(), "open", s != null, "beat", beat, "duties",
-                    duties));
-            }
-            sentRevision = register.revision();
         }
     }
 
@@ -1059,23 +1008,7 @@
         all.put("leader", leader == null ? "" : ((Endpoint) leader).name());
         all.put("voters", node == null ? List.of() : node.getCommittedMembers().getMembers().stream()
             .map(e -> ((Endpoint) e).name()).sorted().toList());
-        all.put("revision", register.revision());
-        all.put("sessions", register.sessions().stream().map(s -> {
-            Duration quiet = overdue.quiet(s.id(), host.now());
-            return MessageCodec.message("session", "name", s.name(), "run", s.id(), "since", s.since(), "quiet-ms",
-                quiet == null ? -1 : quiet.toMillis());
-        }).toList());
-        all.put("duties", register.duties().stream().map(d -> MessageCodec.message("duty", "name", d.name(), "owner",
-            Register.driver(d.owner()), "epoch", d.epoch(), "since", d.since(), "turn", d.turn(), "outcome", d.outcome(),
-            "wanted", d.wanted(), "history", List.copyOf(d.history()))).toList());
-        if (register.duty(WorkRules.CONDUCTOR) != null) {
-            Plan plan = register.plan();
-            all.put("work", MessageCodec.message("work", "held", plan.held(), "late-orders", register.lateOrders(), "machines",
-                plan.machines().values().stream().map(m -> MessageCodec.message("machine", "name", m.name(), "zone", m.zone(), "drivers",
-                    m.drivers(), "members", m.parts().stream().map(p -> p.uid() + "#" + p.group()).toList())).toList(),
-                "entries", plan.entries().stream().map(e -> e.page(plan.waitsFor(e))).toList(), "astray",
-                plan.astray().stream().map(Plan.LostDriver::known).toList(), "history", List.copyOf(plan.history())));
-        }
+        CouncilStatus.add(all, register, overdue, host.now());
         return all;
     }
 }
