--- a/src/main/java/wingroad/driver/Answer.java
+++ b/src/main/java/wingroad/driver/Answer.java
@@ -2,8 +2,8 @@
 
 import java.time.Duration;
 import java.util.Map;
+import wingroad.driver.Exchange.MemberStatus;
 import wingroad.driver.Exchange.Report;
-import wingroad.driver.Exchange.Told;
 import wingroad.protocol.Gauges;
 import wingroad.protocol.MemberInput;
 import wingroad.state.Member.Role;
@@ -18,7 +18,7 @@
     static final Answer SPOILT = new Answer(End.ERROR);
 
     final End end;
-    final Told told;
+    final MemberStatus status;
     /** The row's messages, where there is one. */
     final byte[] row;
     /** The member's report, where the row itself is one. */
@@ -26,7 +26,7 @@
 
     private Answer(End end) {
         this.end = end;
-        told = Told.NOTHING;
+        status = MemberStatus.NOTHING;
         row = null;
         asked = null;
     }
@@ -35,7 +35,7 @@
         end = end(in);
         Double position = Gauges.number(in.parameter("caught_up_to"));
         String gauges = in.parameter("gauges");
-        told = new Told(role(in.parameter("part")), position == null ? null : clock.past(position),
+        status = new MemberStatus(role(in.parameter("part")), position == null ? null : clock.past(position),
             gauges == null ? null : report(gauges, clock));
         row = in.served() && !probe ? in.row() : null;
         asked = in.served() && probe && in.value() != null ? report(in.value(), clock) : null;
--- a/src/main/java/wingroad/driver/ChoreExecutor.java
+++ b/src/main/java/wingroad/driver/ChoreExecutor.java
@@ -90,7 +90,7 @@
             tell(ended, "not begun: the lease ends");
             return;
         }
-        String txn = exchange.ownArrived(statement(chore, epoch, turn, left), type, new Exchange.Asker() {
+        String txn = exchange.ownArrived(statement(chore, epoch, turn, left), type, new Exchange.TxnCallback() {
             @Override
             public void committed(byte[] row) {
                 tell(ended, "ran");
--- a/src/main/java/wingroad/driver/ClientConnection.java
+++ b/src/main/java/wingroad/driver/ClientConnection.java
@@ -10,9 +10,9 @@
 
 /**
  * One client's connection. Its commands are taken one after the other, each when the last is answered. What it may
- * take of the driver is bounded in bytes and in time; {@connection #overdue} says when its time is over.
+ * take of the driver is bounded in bytes and in time; {@link #overdue} says when its time is over.
  */
-final class ClientConnection implements Connection.Owner, Exchange.Asker {
+final class ClientConnection implements Connection.Owner, Exchange.TxnCallback {
     /** A client is to be told within 3 s of its connecting; half of that leaves a second for the end, see LINGER. */
     private static final Duration START_TIME = Duration.ofMillis(1500);
     /** A command that has begun comes whole at once, or its client is stuck: the largest takes some ms. */
--- a/src/main/java/wingroad/driver/Clients.java
+++ b/src/main/java/wingroad/driver/Clients.java
@@ -80,7 +80,7 @@
         letIn();
     }
 
-    /** The address is taken, but whoever comes waits until {@connection #letIn}. */
+    /** The address is taken, but whoever comes waits until {@link #letIn}. */
     void bind(InetSocketAddress at) throws IOException {
         listener = new Listener(loop, at, ClientInput.MOST + 1024, this::room, in -> {
             ClientConnection c = new ClientConnection(this, exchange.now(), ++numbers);
@@ -228,7 +228,7 @@
 
     /**
      * Guards the clients against running out of connections: they hold a part of the descriptors at most, and those that
-     * ask once and stay would fill it. Over {@connection #CLIENTS_SHARE} the one idle for longest is let go.
+     * ask once and stay would fill it. Over {@link #CLIENTS_SHARE} the one idle for longest is let go.
      */
     private void letGoOfTooMany() {
         int asked = 0;
--- a/src/main/java/wingroad/driver/Exchange.java
+++ b/src/main/java/wingroad/driver/Exchange.java
@@ -24,7 +24,7 @@
  */
 final class Exchange implements Results {
     /** Who asked for a txn; one of these is its final answer. */
-    interface Asker {
+    interface TxnCallback {
         void committed(byte[] row);
 
         void declined(Duration comeBack);
@@ -32,9 +32,9 @@
         void rolledBack();
     }
 
-    /** The member side. It answers each errand once, later, by {@link #ended} or {@link #probed}. */
-    interface Carrier {
-        void carry(Errand errand);
+    /** The member side. It answers each request once, later, by {@link #ended} or {@link #probed}. */
+    interface MemberTransport {
+        void dispatch(MemberRequest request);
 
         void callOff(String txn, int submission);
 
@@ -71,15 +71,15 @@
     }
 
     /** One submission, or a probe where the statement is null, for a member until a time. */
-    record Errand(String txn, int submission, long member, Statement statement, Duration until) {
+    record MemberRequest(String txn, int submission, long member, Statement statement, Duration until) {
         boolean probe() {
             return statement == null;
         }
     }
 
     /** What a member said of itself with an answer; {@code report} is null without one. */
-    record Told(Member.Role role, Duration position, Report report) {
-        static final Told NOTHING = new Told(Member.Role.UNKNOWN, null, null);
+    record MemberStatus(Member.Role role, Duration position, Report report) {
+        static final MemberStatus NOTHING = new MemberStatus(Member.Role.UNKNOWN, null, null);
     }
 
     /** A member's report; figures not in it are NaN. */
@@ -90,20 +90,20 @@
         final Statement statement;
         final int type;
         final long session;
-        final Asker asker;
+        final TxnCallback callback;
         final Duration expiresAt;
         final Duration arrivedAt;
         /** It was handed to the member side at some time: it may be at a member. */
-        boolean carried;
+        boolean dispatched;
         /** Its way through the door, or null where there is none. */
         QueuedTxn queued;
 
-        Open(Statement statement, int type, long session, Asker asker, Duration arrivedAt, Duration expiresAt) {
+        Open(Statement statement, int type, long session, TxnCallback callback, Duration arrivedAt, Duration expiresAt) {
             this.arrivedAt = arrivedAt;
             this.statement = statement;
             this.type = type;
             this.session = session;
-            this.asker = asker;
+            this.callback = callback;
             this.expiresAt = expiresAt;
         }
     }
@@ -118,7 +118,7 @@
     private FairQueues door;
     /** Who sees what happens, or null. */
     private Watcher watcher;
-    private Carrier carrier;
+    private MemberTransport carrier;
     private Lists lists;
     /** Closes an idle client's connection, where there is one. */
     private BooleanSupplier room;
@@ -158,7 +158,7 @@
         watcher = by;
     }
 
-    void meet(Carrier carrier, Lists lists, BooleanSupplier room) {
+    void meet(MemberTransport carrier, Lists lists, BooleanSupplier room) {
         this.room = room;
         this.carrier = carrier;
         this.lists = lists;
@@ -180,28 +180,28 @@
     // ---- from the clients ----
 
     /** A txn was accepted; the name by which it is known here, or null where it can't be taken. */
-    String arrived(Statement s, int type, long session, Asker asker) {
-        return arrived(s, type, session, asker, null, null);
+    String arrived(Statement s, int type, long session, TxnCallback callback) {
+        return arrived(s, type, session, callback, null, null);
     }
 
     /** A txn of the driver's own: by no door, since it is no client's. */
-    String ownArrived(Statement s, int type, Asker asker) {
-        return arrived(s, type, -1, asker, null, null, false);
+    String ownArrived(Statement s, int type, TxnCallback callback) {
+        return arrived(s, type, -1, callback, null, null, false);
     }
 
     /** The same, with who asks and under which name, for the door. */
-    String arrived(Statement s, int type, long session, Asker asker, Caller caller, String name) {
-        return arrived(s, type, session, asker, caller, name, door != null);
+    String arrived(Statement s, int type, long session, TxnCallback callback, Caller caller, String name) {
+        return arrived(s, type, session, callback, caller, name, door != null);
     }
 
-    private String arrived(Statement s, int type, long session, Asker asker, Caller caller, String name, boolean byDoor) {
+    private String arrived(Statement s, int type, long session, TxnCallback callback, Caller caller, String name, boolean byDoor) {
         Duration now = clock.now();
         String txn = "t" + txns++;
         Duration left = Duration.ofMillis(s.left());
         if (endBy != null && now.plus(left).compareTo(endBy) > 0) {
             left = endBy.minus(now);
         }
-        Open t = new Open(s, type, session, asker, now, now.plus(left));
+        Open t = new Open(s, type, session, callback, now, now.plus(left));
         open.put(txn, t);
         try {
             if (!byDoor) {
@@ -235,17 +235,17 @@
         if (t != null) {
             router().txnLapsed(clock.now(), txn);
         }
-        return t != null && !t.carried;
+        return t != null && !t.dispatched;
     }
 
     // ---- from the members ----
 
     @Override
-    public void ended(Errand e, Submission.End end, Duration took, Told told, byte[] row) {
+    public void ended(MemberRequest e, Submission.End end, Duration took, MemberStatus status, byte[] row) {
         Duration now = clock.now();
-        report(now, e.member(), told.report());
+        report(now, e.member(), status.report());
         if (watcher != null) {
-            watch(e.member(), end, took, told);
+            watch(e.member(), end, took, status);
         }
         Open known = open.get(e.txn());
         if (known != null && known.queued != null) {
@@ -254,17 +254,17 @@
         Open txn = end == Submission.End.COMMITTED ? take(e.txn()) : null;
         if (txn != null) {
             seen(txn, now, true);
-            txn.asker.committed(row);
+            txn.callback.committed(row);
         }
         try {
-            router().submissionEnded(now, e.txn(), e.submission(), e.member(), end, took, txn != null, told.role(),
-                told.position());
+            router().submissionEnded(now, e.txn(), e.submission(), e.member(), end, took, txn != null, status.role(),
+                status.position());
         } catch (RuntimeException bug) {
             // Whatever went wrong, the client gets its answer: nobody else would think of this txn again.
             onBug.accept(bug);
             Open lost = take(e.txn());
             if (lost != null) {
-                lost.asker.rolledBack();
+                lost.callback.rolledBack();
             }
         }
     }
@@ -277,7 +277,7 @@
     }
 
     @Override
-    public void sighted(long member, boolean answered, Report report) {
+    public void roleProbed(long member, boolean answered, Report report) {
         if (watcher != null && answered && report != null) {
             watcher.told(member, report.role(), report.position());
         } else if (watcher != null) {
@@ -285,10 +285,10 @@
         }
     }
 
-    private void watch(long member, Submission.End end, Duration took, Told told) {
+    private void watch(long member, Submission.End end, Duration took, MemberStatus status) {
         watcher.took(member, took);
-        if (end == Submission.End.COMMITTED || told.role() != Member.Role.UNKNOWN) {
-            watcher.told(member, told.role(), told.position());
+        if (end == Submission.End.COMMITTED || status.role() != Member.Role.UNKNOWN) {
+            watcher.told(member, status.role(), status.position());
         } else if (end != Submission.End.MOOT && end != Submission.End.CANCELLED) {
             watcher.failed(member);
         }
@@ -302,7 +302,7 @@
     }
 
     @Override
-    public boolean mayStillGo(Errand e) {
+    public boolean mayStillGo(MemberRequest e) {
         if (watcher != null) {
             // Guards against a process that was stopped while the connection opened: its list may count for nothing by now.
             watcher.look();
@@ -392,14 +392,14 @@
         } else if (!v.letIn()) {
             take(v.queued().txn());
             seen(t, now, false);
-            t.asker.declined(v.comeBack());
+            t.callback.declined(v.comeBack());
         } else {
             try {
                 letIn(now, v.queued().txn(), t, v.queued().waited(now));
             } catch (RuntimeException bug) {
                 onBug.accept(bug);
                 take(v.queued().txn());
-                t.asker.rolledBack();
+                t.callback.rolledBack();
             }
         }
     }
@@ -419,16 +419,16 @@
             case SUBMIT -> {
                 Open txn = open.get(d.txn());
                 if (txn == null) {
-                    Errand none = new Errand(d.txn(), d.submission(), d.member(), null, now);
-                    loop.run(() -> ended(none, Submission.End.MOOT, Duration.ZERO, Told.NOTHING, null));
+                    MemberRequest none = new MemberRequest(d.txn(), d.submission(), d.member(), null, now);
+                    loop.run(() -> ended(none, Submission.End.MOOT, Duration.ZERO, MemberStatus.NOTHING, null));
                 } else {
                     if (txn.queued != null) {
                         door.submitted(now, txn.queued);
                     }
-                    txn.carried = true;
+                    txn.dispatched = true;
                     Duration last = endBy == null ? txn.expiresAt : min(txn.expiresAt, endBy);
                     Duration until = d.when() == null ? last : min(d.when(), last);
-                    carrier.carry(new Errand(d.txn(), d.submission(), d.member(), txn.statement, until));
+                    carrier.dispatch(new MemberRequest(d.txn(), d.submission(), d.member(), txn.statement, until));
                 }
             }
             case DECLINE -> {
@@ -437,18 +437,18 @@
                     Duration advice = txn.queued == null ? d.when() : door.advice(now, txn.queued);
                     take(d.txn());
                     seen(txn, now, false);
-                    txn.asker.declined(advice);
+                    txn.callback.declined(advice);
                 }
             }
             case ROLL_BACK -> {
                 Open txn = take(d.txn());
                 if (txn != null) {
                     seen(txn, now, false);
-                    txn.asker.rolledBack();
+                    txn.callback.rolledBack();
                 }
             }
             case CANCEL -> carrier.callOff(d.txn(), d.submission());
-            case PROBE -> carrier.carry(new Errand(null, -1, d.member(), null, now.plus(probeWait)));
+            case PROBE -> carrier.dispatch(new MemberRequest(null, -1, d.member(), null, now.plus(probeWait)));
             case RELEASE -> carrier.release(d.member());
             case FOLLOW_LIST -> lists.follow();
             case FETCH_LIST -> lists.fetch();
--- a/src/main/java/wingroad/driver/MemberConnection.java
+++ b/src/main/java/wingroad/driver/MemberConnection.java
@@ -4,69 +4,69 @@
 import java.net.InetSocketAddress;
 import java.nio.ByteBuffer;
 import java.time.Duration;
-import wingroad.driver.Exchange.Errand;
+import wingroad.driver.Exchange.MemberRequest;
 import wingroad.protocol.MemberInput;
 import wingroad.protocol.MemberOutput;
 import wingroad.state.Submission.End;
 import wingroad.transport.Connection;
 import wingroad.transport.EventLoop;
 
-/** One connection to a member. It carries one errand at a time; whatever is in doubt closes it. */
+/** One connection to a member. It carries one request at a time; whatever is in doubt closes it. */
 final class MemberConnection implements Connection.Owner {
     private enum Stage { CONNECTING, STARTING, RESTING, IDLE, SENT, CLOSED }
 
     private final Members side;
-    private final Members.Place place;
+    private final Members.MemberPool pool;
     private final InetSocketAddress to;
     private final EventLoop loop;
     private final MemberInput input = new MemberInput();
     private Connection connection;
     private Stage stage = Stage.CONNECTING;
-    private Errand errand;
-    /** Since when it carries its errand, or stands idle. */
+    private MemberRequest request;
+    /** Since when it carries its request, or stands idle. */
     private Duration since;
-    /** Whether the errand's last byte is known to be written. */
+    /** Whether the request's last byte is known to be written. */
     private boolean written;
-    /** Its errand is not wanted any more; that is told in a moment. */
+    /** Its request is not wanted any more; that is told in a moment. */
     private boolean calledOff;
     private EventLoop.Timer startTimer;
-    private EventLoop.Timer errandTimer;
+    private EventLoop.Timer requestTimer;
     private EventLoop.Timer idleTimer;
 
-    private MemberConnection(Members side, Members.Place place, InetSocketAddress to, EventLoop loop) {
+    private MemberConnection(Members side, Members.MemberPool pool, InetSocketAddress to, EventLoop loop) {
         this.side = side;
-        this.place = place;
+        this.pool = pool;
         this.to = to;
         this.loop = loop;
     }
 
-    /** Opens one for an errand, which waits until the member has let it in. */
-    static MemberConnection open(Members side, Members.Place place, InetSocketAddress to, EventLoop loop, Duration wait,
-                           Errand first) throws IOException {
-        MemberConnection m = new MemberConnection(side, place, to, loop);
+    /** Opens one for a request, which waits until the member has let it in. */
+    static MemberConnection open(Members side, Members.MemberPool pool, InetSocketAddress to, EventLoop loop, Duration wait,
+                           MemberRequest first) throws IOException {
+        MemberConnection m = new MemberConnection(side, pool, to, loop);
         m.connection = Connection.open(loop, to, m, MemberInput.MOST + 1024);
         m.startTimer = loop.after(wait, () -> m.giveUp("not up in time", End.UNREACHABLE));
         m.takeOn(first);
         return m;
     }
 
-    Errand errand() {
-        return errand;
+    MemberRequest request() {
+        return request;
     }
 
     Duration idleSince() {
         return since;
     }
 
-    private void takeOn(Errand e) {
-        errand = e;
+    private void takeOn(MemberRequest e) {
+        request = e;
         calledOff = false;
         since = side.now();
-        errandTimer = loop.after(e.until().minus(since), () -> giveUp("no answer in time", reach().timedOut()));
+        requestTimer = loop.after(e.until().minus(since), () -> giveUp("no answer in time", progress().timedOut()));
     }
 
-    /** Carries an errand over a connection that stands idle, or once it has rested. */
-    void carry(Errand e) {
+    /** Carries a request over a connection that stands idle, or once it has rested. */
+    void dispatch(MemberRequest e) {
         idleTimer.cancel();
         takeOn(e);
         if (stage == Stage.IDLE) {
@@ -82,7 +82,7 @@
     void hasRested() {
         if (stage == Stage.RESTING) {
             stage = Stage.IDLE;
-            if (errand != null) {
+            if (request != null) {
                 sendIfStillToGo();
             }
         }
@@ -91,8 +91,8 @@
     private void sendOut() {
         stage = Stage.SENT;
         written = false;
-        long left = Math.max(1, errand.until().minus(side.now()).toMillis());
-        connection.send(errand.probe() ? MemberOutput.gauges() : MemberOutput.query(errand.statement().withLeft(left)));
+        long left = Math.max(1, request.until().minus(side.now()).toMillis());
+        connection.send(request.probe() ? MemberOutput.gauges() : MemberOutput.query(request.statement().withLeft(left)));
     }
 
     @Override
@@ -140,10 +140,10 @@
             drop("lets nobody in");
             return;
         }
-        Errand e = errand;
+        MemberRequest e = request;
         Duration took = side.now().minus(since);
-        errandTimer.cancel();
-        errand = null;
+        requestTimer.cancel();
+        request = null;
         Answer answer = answer(e);
         input.clear();
         // Whoever answers has read its query, even where the word that it was written is still on its way here:
@@ -158,19 +158,19 @@
 
     /** A connection may have taken its time to open, or to rest. */
     private void sendIfStillToGo() {
-        if (!calledOff && place.isAt(to) && side.mayStillGo(errand)) {
+        if (!calledOff && pool.isAt(to) && side.mayStillGo(request)) {
             sendOut();
         } else {
-            Errand late = errand;
-            errandTimer.cancel();
-            errand = null;
+            MemberRequest late = request;
+            requestTimer.cancel();
+            request = null;
             idle();
             side.failed(late, End.MOOT, Duration.ZERO, "no longer to be sent");
         }
     }
 
-    /** What was answered; whatever it says, the errand has its end. */
-    private Answer answer(Errand e) {
+    /** What was answered; whatever it says, the request has its end. */
+    private Answer answer(MemberRequest e) {
         try {
             return new Answer(input, side.clock(), e.probe());
         } catch (RuntimeException bug) {
@@ -182,21 +182,21 @@
     /** It may be used again, unless its member has moved or gone while it was at work. */
     private void idle() {
         stage = Stage.RESTING;
-        if (!place.isAt(to)) {
+        if (!pool.isAt(to)) {
             close();
             return;
         }
         since = side.now();
         idleTimer = loop.after(side.idleTime(), this::close);
-        place.idle(this);
+        pool.idle(this);
         side.rests(this);
     }
 
-    private Reach reach() {
+    private AttemptProgress progress() {
         if (stage != Stage.SENT) {
-            return Reach.NOT_CONNECTED;
+            return AttemptProgress.NOT_CONNECTED;
         }
-        return input.begun() ? Reach.ANSWERING : written ? Reach.WRITTEN : Reach.PARTLY_WRITTEN;
+        return input.begun() ? AttemptProgress.ANSWERING : written ? AttemptProgress.WRITTEN : AttemptProgress.PARTLY_WRITTEN;
     }
 
     @Override
@@ -206,22 +206,22 @@
 
     @Override
     public void ended(int unwritten, boolean orderly, String how) {
-        Reach reach = reach();
-        if (reach == Reach.PARTLY_WRITTEN && unwritten == 0) {
-            reach = Reach.WRITTEN;
+        AttemptProgress progress = progress();
+        if (progress == AttemptProgress.PARTLY_WRITTEN && unwritten == 0) {
+            progress = AttemptProgress.WRITTEN;
         }
-        lose(reach, how);
+        lose(progress, how);
     }
 
     /** The stream makes no sense any more: what was asked on it ends as what is proven. */
     private void drop(String how) {
         // Whoever answers has read: a write that seems to be out may be through.
-        lose(reach() == Reach.NOT_CONNECTED ? Reach.NOT_CONNECTED : Reach.ANSWERING, how);
+        lose(progress() == AttemptProgress.NOT_CONNECTED ? AttemptProgress.NOT_CONNECTED : AttemptProgress.ANSWERING, how);
     }
 
-    private void lose(Reach reach, String how) {
+    private void lose(AttemptProgress progress, String how) {
         Stage was = stage;
-        Errand e = errand;
+        MemberRequest e = request;
         shut();
         if (was == Stage.CLOSED) {
             return;
@@ -237,13 +237,13 @@
             side.answered(e, answer(e), side.now().minus(since));
         } else if (e != null) {
             boolean turnedAway = was == Stage.STARTING && Answer.TURNED_AWAY.equals(input.error());
-            side.failed(e, turnedAway ? End.FULL : movedAway(was) ? End.MOOT : reach.lost(), side.now().minus(since), how);
+            side.failed(e, turnedAway ? End.FULL : movedAway(was) ? End.MOOT : progress.lost(), side.now().minus(since), how);
         }
     }
 
     private void giveUp(String how, End end) {
         if (stage != Stage.CLOSED) {
-            Errand e = errand;
+            MemberRequest e = request;
             Stage was = stage;
             shut();
             if (e != null) {
@@ -254,7 +254,7 @@
 
     /** It never came up, where its member is no longer: no fault of the member's. */
     private boolean movedAway(Stage was) {
-        return (was == Stage.CONNECTING || was == Stage.STARTING) && !place.isAt(to);
+        return (was == Stage.CONNECTING || was == Stage.STARTING) && !pool.isAt(to);
     }
 
     /** Guards against sending what is given up, should the connection come up before the end is told. */
@@ -262,9 +262,9 @@
         calledOff = true;
     }
 
-    /** Stops waiting for its errand. */
+    /** Stops waiting for its request. */
     void callOff() {
-        giveUp("called off", reach().calledOff());
+        giveUp("called off", progress().calledOff());
     }
 
     /** Closes one that stands idle. */
@@ -277,13 +277,13 @@
 
     private void shut() {
         stage = Stage.CLOSED;
-        errand = null;
-        for (EventLoop.Timer t : new EventLoop.Timer[] {startTimer, errandTimer, idleTimer}) {
+        request = null;
+        for (EventLoop.Timer t : new EventLoop.Timer[] {startTimer, requestTimer, idleTimer}) {
             if (t != null) {
                 t.cancel();
             }
         }
         connection.close();
-        place.closed(this);
+        pool.closed(this);
     }
 }
--- a/src/main/java/wingroad/driver/Members.java
+++ b/src/main/java/wingroad/driver/Members.java
@@ -16,13 +16,13 @@
 import java.util.Set;
 import java.util.function.LongPredicate;
 import java.util.function.Predicate;
-import wingroad.driver.Exchange.Errand;
+import wingroad.driver.Exchange.MemberRequest;
 import wingroad.protocol.MemberList;
 import wingroad.state.Submission.End;
 import wingroad.transport.EventLoop;
 
 /** The member side: who the members are, where they are, and the connections to them. */
-final class Members implements Exchange.Carrier {
+final class Members implements Exchange.MemberTransport {
     /**
      * A connection is used again only after this rest since its last answer. Guards against more than the answer: what
      * comes behind it, in a packet of its own, would be taken for the answer to what is sent next. A second copy is
@@ -30,8 +30,8 @@
      */
     private static final Duration REST = Duration.ofMillis(4);
 
-    /** Stands in an errand for a submission's number where it is a probe for the plan of work. */
-    private static final int SIGHT = -2;
+    /** Stands in a request for a submission's number where it is a probe for the plan of work. */
+    private static final int ROLE_PROBE = -2;
 
     private final EventLoop loop;
     private final Clock clock;
@@ -39,8 +39,8 @@
     private final Results results;
     private final Duration connectTime;
     private final Duration idleTime;
-    private final Map<String, Place> byUid = new HashMap<>();
-    private final Map<Long, Place> byId = new LinkedHashMap<>();
+    private final Map<String, MemberPool> byUid = new HashMap<>();
+    private final Map<Long, MemberPool> byId = new LinkedHashMap<>();
     /** Those that rest: since the last beat, and for longer. */
     private List<MemberConnection> restingNew = new ArrayList<>();
     private List<MemberConnection> resting = new ArrayList<>();
@@ -48,7 +48,7 @@
     private long numbers;
 
     /** One member: its address and its connections, those that stand idle with the newest last. */
-    final class Place {
+    final class MemberPool {
         final long id;
         private final String uid;
         private InetSocketAddress address;
@@ -57,7 +57,7 @@
         private final Set<MemberConnection> connections = new LinkedHashSet<>();
         private final ArrayDeque<MemberConnection> idle = new ArrayDeque<>();
 
-        private Place(String uid, long id) {
+        private MemberPool(String uid, long id) {
             this.uid = uid;
             this.id = id;
         }
@@ -121,9 +121,9 @@
 
     /** A list names this member: the number by which the module knows it. */
     long listed(MemberList.Entry e) {
-        Place p = byUid.get(e.uid());
+        MemberPool p = byUid.get(e.uid());
         if (p == null) {
-            p = new Place(e.uid(), ++numbers);
+            p = new MemberPool(e.uid(), ++numbers);
             byUid.put(e.uid(), p);
             byId.put(p.id, p);
         }
@@ -152,11 +152,11 @@
     }
 
     @Override
-    public void carry(Errand e) {
-        Place p = byId.get(e.member());
+    public void dispatch(MemberRequest e) {
+        MemberPool p = byId.get(e.member());
         MemberConnection connection = p.takeIdle();
         if (connection != null) {
-            connection.carry(e);
+            connection.dispatch(e);
             return;
         }
         // The last sixteenth is for clients that are only let in to be declined.
@@ -175,27 +175,27 @@
 
     /** The id by which discovery lists it, or null where it is known no more. */
     String uid(long member) {
-        Place p = byId.get(member);
+        MemberPool p = byId.get(member);
         return p == null ? null : p.uid;
     }
 
     /** Whether a txn is at one of these members, or on its way there. */
     boolean busy(Predicate<String> uids) {
         return byId.values().stream().filter(p -> uids.test(p.uid)).anyMatch(p -> p.connections.stream().anyMatch(l ->
-            l.errand() != null && !l.errand().probe()));
+            l.request() != null && !l.request().probe()));
     }
 
-    /** Asks a member what it is, beside what the module asks; the answer goes to {@connection Results#sighted}. */
+    /** Asks a member what it is, beside what the module asks; the answer goes to {@link Results#roleProbed}. */
     void ask(String uid) {
-        Place p = byUid.get(uid);
+        MemberPool p = byUid.get(uid);
         if (p != null) {
-            carry(new Errand(null, SIGHT, p.id, null, clock.now().plus(connectTime)));
+            dispatch(new MemberRequest(null, ROLE_PROBE, p.id, null, clock.now().plus(connectTime)));
         }
     }
 
     @Override
     public void release(long member) {
-        Place p = byId.get(member);
+        MemberPool p = byId.get(member);
         if (p != null) {
             p.closeIdle();
         }
@@ -208,7 +208,7 @@
 
     private boolean closeOldestIdle() {
         MemberConnection oldest = null;
-        for (Place p : byId.values()) {
+        for (MemberPool p : byId.values()) {
             MemberConnection first = p.idle.peekFirst();
             if (first != null && (oldest == null || first.idleSince().compareTo(oldest.idleSince()) < 0)) {
                 oldest = first;
@@ -223,14 +223,14 @@
 
     @Override
     public void callOff(String txn, int submission) {
-        for (Place p : byId.values()) {
+        for (MemberPool p : byId.values()) {
             for (MemberConnection connection : p.connections) {
-                Errand e = connection.errand();
+                MemberRequest e = connection.request();
                 if (e != null && txn.equals(e.txn()) && e.submission() == submission) {
                     // Its end is an input to the module, which is in the middle of its decisions: told a task later.
                     connection.toBeCalledOff();
                     loop.run(() -> {
-                        if (connection.errand() == e) {
+                        if (connection.request() == e) {
                             connection.callOff();
                         }
                     });
@@ -264,31 +264,31 @@
         loop.bug(bug);
     }
 
-    boolean mayStillGo(Errand e) {
+    boolean mayStillGo(MemberRequest e) {
         return results.mayStillGo(e);
     }
 
-    void answered(Errand e, Answer a, Duration took) {
-        if (e.probe() && e.submission() == SIGHT) {
-            results.sighted(e.member(), a.asked != null, a.asked);
+    void answered(MemberRequest e, Answer a, Duration took) {
+        if (e.probe() && e.submission() == ROLE_PROBE) {
+            results.roleProbed(e.member(), a.asked != null, a.asked);
         } else if (e.probe()) {
-            results.probed(e.member(), a.asked != null, took, a.asked != null ? a.asked : a.told.report());
+            results.probed(e.member(), a.asked != null, took, a.asked != null ? a.asked : a.status.report());
         } else {
             counters.count(a.end.name());
-            results.ended(e, a.end, took, a.told, a.row);
+            results.ended(e, a.end, took, a.status, a.row);
         }
     }
 
-    void failed(Errand e, End end, Duration took, String how) {
-        if (e.probe() && e.submission() == SIGHT) {
-            results.sighted(e.member(), false, null);
+    void failed(MemberRequest e, End end, Duration took, String how) {
+        if (e.probe() && e.submission() == ROLE_PROBE) {
+            results.roleProbed(e.member(), false, null);
         } else if (e.probe()) {
             counters.count("probe " + how);
             results.probed(e.member(), false, took, null);
         } else {
             counters.count(end.name());
             counters.count(how);
-            results.ended(e, end, took, Exchange.Told.NOTHING, null);
+            results.ended(e, end, took, Exchange.MemberStatus.NOTHING, null);
         }
     }
 
@@ -299,7 +299,7 @@
 
     int connections() {
         int n = 0;
-        for (Place p : byId.values()) {
+        for (MemberPool p : byId.values()) {
             n += p.connections.size();
         }
         return n;
--- a/src/main/java/wingroad/driver/WarmUp.java
+++ b/src/main/java/wingroad/driver/WarmUp.java
@@ -53,9 +53,9 @@
         this.then = then;
         this.from = clock.now();
         exchange = new Exchange(loop, clock, new TxnRouter(terms, 1, line -> { }), Duration.ofMillis(250), this::failed);
-        exchange.meet(new Exchange.Carrier() {
+        exchange.meet(new Exchange.MemberTransport() {
             @Override
-            public void carry(Exchange.Errand e) {
+            public void dispatch(Exchange.MemberRequest e) {
                 loop.run(() -> answer(e));
             }
 
@@ -130,7 +130,7 @@
         ClientInput input = new ClientInput();
         input.next(MemberOutput.startup());
         Statement s = Statement.parse(input.next(in).bytes()).statement();
-        exchange.arrived(s, type, -1, new Exchange.Asker() {
+        exchange.arrived(s, type, -1, new Exchange.TxnCallback() {
             @Override
             public void committed(byte[] row) {
                 ClientOutput.row(row);
@@ -154,18 +154,18 @@
         loop.run(this::next);
     }
 
-    private void answer(Exchange.Errand e) {
+    private void answer(Exchange.MemberRequest e) {
         MemberInput in = new MemberInput();
         in.clear();
         in.take(ByteBuffer.wrap(answer));
         Answer a = new Answer(in, clock, false);
-        Exchange.Told told = new Exchange.Told(e.member() == 1 ? wingroad.state.Member.Role.PRIMARY
-            : wingroad.state.Member.Role.REPLICA, clock.now(), a.told.report());
+        Exchange.MemberStatus status = new Exchange.MemberStatus(e.member() == 1 ? wingroad.state.Member.Role.PRIMARY
+            : wingroad.state.Member.Role.REPLICA, clock.now(), a.status.report());
         if (e.probe()) {
-            exchange.probed(e.member(), true, Duration.ofMillis(1), new Exchange.Report(told.role(), clock.now(), 1, 0, 0));
+            exchange.probed(e.member(), true, Duration.ofMillis(1), new Exchange.Report(status.role(), clock.now(), 1, 0, 0));
         } else {
             MemberOutput.query(e.statement().withLeft(2000));
-            exchange.ended(e, End.COMMITTED, Duration.ofMillis(10), told, a.row);
+            exchange.ended(e, End.COMMITTED, Duration.ofMillis(10), status, a.row);
         }
     }
 
--- a/src/test/java/wingroad/driver/ClientsTest.java
+++ b/src/test/java/wingroad/driver/ClientsTest.java
@@ -30,7 +30,7 @@
 class ClientsTest {
     private static final long MEMBER = 1;
 
-    private final BlockingQueue<Exchange.Errand> carried = new LinkedBlockingQueue<>();
+    private final BlockingQueue<Exchange.MemberRequest> dispatched = new LinkedBlockingQueue<>();
     private final BlockingQueue<Throwable> bugs = new LinkedBlockingQueue<>();
     private final EventLoop loop = new EventLoop(200, 1 << 24, bugs::add);
     private final Clock clock = new Clock();
@@ -46,11 +46,11 @@
 
     @BeforeEach
     void listen() throws Exception {
-        exchange.meet(new Exchange.Carrier() {
+        exchange.meet(new Exchange.MemberTransport() {
             @Override
-            public void carry(Exchange.Errand e) {
+            public void dispatch(Exchange.MemberRequest e) {
                 if (!e.probe()) {
-                    carried.add(e);
+                    dispatched.add(e);
                 }
             }
 
@@ -121,9 +121,9 @@
         } while (!was.take());
     }
 
-    private void commit(Exchange.Errand e) {
+    private void commit(Exchange.MemberRequest e) {
         byte[] row = Given.joined(message('T', Given.DESCRIPTION), message('D', Given.column("done")), message('C', text("SELECT 1")));
-        loop.run(() -> exchange.ended(e, End.COMMITTED, Duration.ofMillis(1), new Exchange.Told(Role.PRIMARY, null, null), row));
+        loop.run(() -> exchange.ended(e, End.COMMITTED, Duration.ofMillis(1), new Exchange.MemberStatus(Role.PRIMARY, null, null), row));
     }
 
     /** Guards against a txn that is sent on though its client has left behind all that it had sent ahead. */
@@ -144,7 +144,7 @@
             until(() -> exchange.openTxns() == 0);
             primaryFound();
             until(() -> clients.connections() == 0);
-            assertThat(carried).isEmpty();
+            assertThat(dispatched).isEmpty();
             loop.run(() -> exchange.router().reported(clock.now(), MEMBER, Role.REPLICA, clock.now(), Double.NaN, Double.NaN,
                 Double.NaN));
         }
@@ -162,12 +162,12 @@
             c.send(ask(read("r" + i)));
         }
         primaryFound();
-        commit(carried.poll(20, TimeUnit.SECONDS));
+        commit(dispatched.poll(20, TimeUnit.SECONDS));
         assertThat(c.until("Z\0\0\0\5I")).contains("done");
         BlockingQueue<Long> held = new LinkedBlockingQueue<>();
         loop.run(() -> held.add(loop.held()));
         assertThat(held.poll(20, TimeUnit.SECONDS)).isLessThan((1 << 23) + 64 * 1024);
-        assertThat(carried.poll(20, TimeUnit.SECONDS).statement().id()).isEqualTo("r0");
+        assertThat(dispatched.poll(20, TimeUnit.SECONDS).statement().id()).isEqualTo("r0");
     }
 
     /** Guards against a planned stop that cuts a statement off in its middle, be it a client's first or a later one. */
@@ -183,7 +183,7 @@
             until(() -> !clients.idle());
             loop.run(clients::beginClosing);
             c.send(java.util.Arrays.copyOfRange(whole, 60, whole.length));
-            commit(carried.poll(20, TimeUnit.SECONDS));
+            commit(dispatched.poll(20, TimeUnit.SECONDS));
             assertThat(c.until("Z\0\0\0\5I")).contains("done");
             assertThat(c.rest()).isEmpty();
             c.close();
@@ -199,11 +199,11 @@
         Peer c = client();
         // In one piece, so that all of it is read at once: what is still unread when it is told the end, the client sends elsewhere.
         c.send(Given.joined(ask(write("w")), ask(read("r")), ask("")));
-        Exchange.Errand w = carried.poll(20, TimeUnit.SECONDS);
+        Exchange.MemberRequest w = dispatched.poll(20, TimeUnit.SECONDS);
         loop.run(clients::beginClosing);
         commit(w);
         assertThat(c.until("Z\0\0\0\5I")).contains("done");
-        Exchange.Errand r = carried.poll(20, TimeUnit.SECONDS);
+        Exchange.MemberRequest r = dispatched.poll(20, TimeUnit.SECONDS);
         assertThat(r.statement().id()).isEqualTo("r");
         commit(r);
         assertThat(c.until("Z\0\0\0\5I")).contains("done");
@@ -236,7 +236,7 @@
         c.close();
         fresh.close();
         until(() -> clients.connections() == 0);
-        assertThat(carried).isEmpty();
+        assertThat(dispatched).isEmpty();
         assertThat(exchange.openTxns()).isZero();
     }
 
@@ -246,10 +246,10 @@
         primaryFound();
         Peer c = client();
         c.send(ask(write("large")));
-        Exchange.Errand e = carried.poll(20, TimeUnit.SECONDS);
+        Exchange.MemberRequest e = dispatched.poll(20, TimeUnit.SECONDS);
         byte[] row = new byte[32 << 20];
         loop.run(() -> {
-            exchange.ended(e, End.COMMITTED, Duration.ofMillis(1), new Exchange.Told(Role.PRIMARY, null, null), row);
+            exchange.ended(e, End.COMMITTED, Duration.ofMillis(1), new Exchange.MemberStatus(Role.PRIMARY, null, null), row);
             clients.endAll();
         });
         until(() -> exchange.openTxns() == 0 && !clients.idle());
@@ -273,7 +273,7 @@
         primaryFound();
         Peer c = client();
         c.send(ask(write("other")));
-        commit(carried.poll(20, TimeUnit.SECONDS));
+        commit(dispatched.poll(20, TimeUnit.SECONDS));
         assertThat(c.until("Z\0\0\0\5I")).contains("done");
     }
 
@@ -288,11 +288,11 @@
         Peer again = client().send(ask(write("same")));
         until(() -> exchange.openTxns() == 1);
         primaryFound();
-        assertThat(carried.poll(20, TimeUnit.SECONDS).statement().id()).isEqualTo("same");
+        assertThat(dispatched.poll(20, TimeUnit.SECONDS).statement().id()).isEqualTo("same");
         again.reset();
         until(() -> exchange.openTxns() == 0);
         assertThat(client().send(ask(write("same"))).until("Z\0\0\0\5I")).contains("42704");
-        assertThat(carried).isEmpty();
+        assertThat(dispatched).isEmpty();
     }
 
     /** The client leaves while its txn waits for its connection: asked just before it would go, the exchange says no. */
@@ -301,7 +301,7 @@
         primaryFound();
         Peer c = client();
         c.send(ask(write("w")));
-        Exchange.Errand e = carried.poll(20, TimeUnit.SECONDS);
+        Exchange.MemberRequest e = dispatched.poll(20, TimeUnit.SECONDS);
         BlockingQueue<Boolean> may = new LinkedBlockingQueue<>();
         loop.run(() -> may.add(exchange.mayStillGo(e)));
         assertThat(may.poll(20, TimeUnit.SECONDS)).isTrue();
@@ -337,7 +337,7 @@
             }
             goes.countDown();
             until(() -> clients.connections() == 0);
-            assertThat(carried).isEmpty();
+            assertThat(dispatched).isEmpty();
         }
     }
 
@@ -348,7 +348,7 @@
         Peer c = client();
         c.trickle(Given.joined(ask(write("a")), ask(write("b"))));
         for (String id : new String[] {"a", "b"}) {
-            Exchange.Errand e = carried.poll(20, TimeUnit.SECONDS);
+            Exchange.MemberRequest e = dispatched.poll(20, TimeUnit.SECONDS);
             assertThat(e.statement().id()).isEqualTo(id);
             commit(e);
             assertThat(c.until("Z\0\0\0\5I")).contains("done");
--- a/src/test/java/wingroad/driver/MembersTest.java
+++ b/src/test/java/wingroad/driver/MembersTest.java
@@ -42,7 +42,7 @@
     /** Runs once, in the turn of the loop in which the next submission ends. */
     private volatile Runnable atItsEnd;
 
-    private record Ended(End end, Exchange.Told told, byte[] row) {
+    private record Ended(End end, Exchange.MemberStatus status, byte[] row) {
     }
 
     private static EventLoop loop(int most) {
@@ -62,13 +62,13 @@
     private Members members(Duration connectTime, Duration idleTime) {
         return new Members(loop, clock, new Counters(), Map.of("connect-time-out", connectTime, "idle-time", idleTime), new Results() {
             @Override
-            public void sighted(long member, boolean answered, Exchange.Report report) {
+            public void roleProbed(long member, boolean answered, Exchange.Report report) {
                 // nobody plans work here
             }
 
                 @Override
-                public void ended(Exchange.Errand e, End end, Duration took, Exchange.Told told, byte[] row) {
-                    ends.add(new Ended(end, told, row));
+                public void ended(Exchange.MemberRequest e, End end, Duration took, Exchange.MemberStatus status, byte[] row) {
+                    ends.add(new Ended(end, status, row));
                     Runnable then = atItsEnd;
                     atItsEnd = null;
                     if (then != null) {
@@ -78,12 +78,12 @@
 
                 @Override
                 public void probed(long member, boolean answered, Duration took, Exchange.Report report) {
-                    ends.add(new Ended(answered ? End.COMMITTED : End.ERROR, new Exchange.Told(report.role(),
+                    ends.add(new Ended(answered ? End.COMMITTED : End.ERROR, new Exchange.MemberStatus(report.role(),
                         report.position(), report), null));
                 }
 
                 @Override
-                public boolean mayStillGo(Exchange.Errand e) {
+                public boolean mayStillGo(Exchange.MemberRequest e) {
                     return mayGo;
                 }
 
@@ -100,20 +100,20 @@
         return e;
     }
 
-    private void carry(int port, Duration wait) {
+    private void dispatch(int port, Duration wait) {
         loop.run(() -> {
             long id = members.listed(MemberList.parse(("{\"rev\":1,\"all\":true,\"targets\":[" + entry("s-" + port, port,
                 "ready") + "]}").getBytes(StandardCharsets.UTF_8)).list().entries().get(0));
             Statement s = Statement.parse(wingroad.Given.read("r" + submissions).getBytes(StandardCharsets.UTF_8))
                 .statement();
-            members.carry(new Exchange.Errand("t", submissions++, id, s, clock.now().plus(wait)));
+            members.dispatch(new Exchange.MemberRequest("t", submissions++, id, s, clock.now().plus(wait)));
         });
     }
 
     /** How one submission ends at a member that does this with it. */
     private Ended end(Script script) throws Exception {
         try (StandInMember m = new StandInMember(false, script)) {
-            carry(m.port(), LONG);
+            dispatch(m.port(), LONG);
             return next();
         }
     }
@@ -122,8 +122,8 @@
     void aRowIsCommittedWithItsRoleAndPosition() throws Exception {
         Ended e = end((sql, s) -> s.row("val", true));
         assertThat(e.end()).isEqualTo(End.COMMITTED);
-        assertThat(e.told().role().name()).isEqualTo("PRIMARY");
-        assertThat(e.told().position()).isBetween(clock.now().minusSeconds(20), clock.now());
+        assertThat(e.status().role().name()).isEqualTo("PRIMARY");
+        assertThat(e.status().position()).isBetween(clock.now().minusSeconds(20), clock.now());
         assertThat(e.row()).startsWith(message('T', DESCRIPTION));
     }
 
@@ -175,13 +175,13 @@
                 s.row("first", false);
                 s.raw(more);
             })) {
-                carry(m.port(), LONG);
+                dispatch(m.port(), LONG);
                 assertThat(next().end()).isEqualTo(End.COMMITTED);
-                carry(m.port(), LONG);
+                dispatch(m.port(), LONG);
                 Ended second = next();
                 if (second.end() == End.MOOT) {
                     // Nothing of it had been sent.
-                    carry(m.port(), LONG);
+                    dispatch(m.port(), LONG);
                     second = next();
                 }
                 assertThat(second.end()).isEqualTo(End.COMMITTED);
@@ -206,7 +206,7 @@
     @Test
     void oneThatIsNoLongerThoughtOfIsLetGoWithItsConnections() throws Exception {
         try (StandInMember m = new StandInMember(false, (sql, s) -> s.row("x", false))) {
-            carry(m.port(), LONG);
+            dispatch(m.port(), LONG);
             assertThat(next().end()).isEqualTo(End.COMMITTED);
             BlockingQueue<Integer> left = new LinkedBlockingQueue<>();
             loop.run(() -> {
@@ -214,7 +214,7 @@
                 left.add(members.connections());
             });
             assertThat(left.poll(20, TimeUnit.SECONDS)).isZero();
-            carry(m.port(), LONG);
+            dispatch(m.port(), LONG);
             assertThat(next().end()).isEqualTo(End.COMMITTED);
             assertThat(m.connections).hasValue(2);
         }
@@ -227,8 +227,8 @@
                 message('C', text("SELECT 1")), wingroad.Given.parameter("caught_up_to", absurd),
                 wingroad.Given.parameter("gauges", "x0=" + absurd + ",x1=1"), READY));
             assertThat(e.end()).isEqualTo(End.COMMITTED);
-            assertThat(e.told().position()).isNull();
-            assertThat(e.told().report().position()).isNull();
+            assertThat(e.status().position()).isNull();
+            assertThat(e.status().report().position()).isNull();
         }
     }
 
@@ -244,10 +244,10 @@
     void whereNothingCouldBeWrittenNothingRan() throws Exception {
         try (StandInMember m = new StandInMember(false, (sql, s) -> s.row("x", false))) {
             m.welcome = new byte[] {'E', 0, 0, 0, 14, 'C', '5', '7', 'P', '0', '3', 0, 0, 0, 0};
-            carry(m.port(), LONG);
+            dispatch(m.port(), LONG);
             assertThat(next().end()).isEqualTo(End.UNREACHABLE);
             m.welcome = message('E', text("SFATAL"), text("C53300"), new byte[1]);
-            carry(m.port(), LONG);
+            dispatch(m.port(), LONG);
             assertThat(next().end()).isEqualTo(End.FULL);
             assertThat(m.queries).isEmpty();
         }
@@ -255,7 +255,7 @@
         try (ServerSocket s = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
             nobody = s.getLocalPort();
         }
-        carry(nobody, LONG);
+        dispatch(nobody, LONG);
         assertThat(next().end()).isEqualTo(End.UNREACHABLE);
     }
 
@@ -263,7 +263,7 @@
     void aMemberThatNeverLetsInIsUnreachableAndNothingIsSent() throws Exception {
         members = members(Duration.ofMillis(50));
         try (ServerSocket silent = new ServerSocket(0, 5, InetAddress.getLoopbackAddress())) {
-            carry(silent.getLocalPort(), LONG);
+            dispatch(silent.getLocalPort(), LONG);
             assertThat(next().end()).isEqualTo(End.UNREACHABLE);
         }
     }
@@ -275,7 +275,7 @@
             s.awaitEnd();
             closed.add(sql);
         })) {
-            carry(m.port(), Duration.ofMillis(100));
+            dispatch(m.port(), Duration.ofMillis(100));
             assertThat(next().end()).isEqualTo(End.TIMED_OUT);
             assertThat(closed.poll(20, TimeUnit.SECONDS)).contains("id=r0");
         }
@@ -288,7 +288,7 @@
             s.awaitEnd();
             closed.add(sql);
         })) {
-            carry(m.port(), LONG);
+            dispatch(m.port(), LONG);
             m.await();
             loop.run(() -> members.callOff("t", 0));
             assertThat(next().end()).isEqualTo(End.CANCELLED);
@@ -300,15 +300,15 @@
     void connectionsAreUsedAgainButNotAfterDoubt() throws Exception {
         try (StandInMember m = new StandInMember(false, (sql, s) -> s.row("x", false))) {
             for (int i = 0; i < 3; i++) {
-                carry(m.port(), LONG);
+                dispatch(m.port(), LONG);
                 assertThat(next().end()).isEqualTo(End.COMMITTED);
             }
             assertThat(m.connections).hasValue(1);
             m.script((sql, s) -> s.end());
-            carry(m.port(), LONG);
+            dispatch(m.port(), LONG);
             assertThat(next().end()).isEqualTo(End.RESET);
             m.script((sql, s) -> s.error("25006", false));
-            carry(m.port(), LONG);
+            dispatch(m.port(), LONG);
             assertThat(next().end()).isEqualTo(End.MISSED);
             assertThat(m.connections).hasValue(2);
             assertThat(m.queries).hasSize(5);
@@ -319,10 +319,10 @@
     void whatIsNoLongerToGoWhenItsConnectionIsUpIsNeverSent() throws Exception {
         mayGo = false;
         try (StandInMember m = new StandInMember(false, (sql, s) -> s.row("x", false))) {
-            carry(m.port(), LONG);
+            dispatch(m.port(), LONG);
             assertThat(next().end()).isEqualTo(End.MOOT);
             mayGo = true;
-            carry(m.port(), LONG);
+            dispatch(m.port(), LONG);
             assertThat(next().end()).isEqualTo(End.COMMITTED);
             assertThat(m.connections).hasValue(1);
             assertThat(m.queries).hasSize(1).first().asString().contains("id=r1");
@@ -332,7 +332,7 @@
     @Test
     void theTimeLeftIsWhatTheMemberIsTold() throws Exception {
         try (StandInMember m = new StandInMember(false, (sql, s) -> s.row("x", false))) {
-            carry(m.port(), Duration.ofMillis(900));
+            dispatch(m.port(), Duration.ofMillis(900));
             String sql = m.await();
             assertThat(Integer.parseInt(sql.replaceAll(".*d=([0-9]+).*", "$1"))).isBetween(1, 900);
             assertThat(sql.replaceAll("d=[0-9]+", "d=3000")).isEqualTo(wingroad.Given.read("r0"));
@@ -343,7 +343,7 @@
     @Test
     void releasedConnectionsAreClosedAndTheNextSubmissionOpensOne() throws Exception {
         try (StandInMember m = new StandInMember(false, (sql, s) -> s.row("val", false))) {
-            carry(m.port(), LONG);
+            dispatch(m.port(), LONG);
             assertThat(next().end()).isEqualTo(End.COMMITTED);
             CompletableFuture<Integer> left = new CompletableFuture<>();
             loop.run(() -> {
@@ -351,7 +351,7 @@
                 left.complete(members.connections());
             });
             assertThat(left.get(20, TimeUnit.SECONDS)).isZero();
-            carry(m.port(), LONG);
+            dispatch(m.port(), LONG);
             assertThat(next().end()).isEqualTo(End.COMMITTED);
             assertThat(m.connections.get()).isEqualTo(2);
         }
@@ -364,7 +364,7 @@
     }
 
     private void carryToTheOne() {
-        loop.run(() -> members.carry(new Exchange.Errand("t", submissions, 1, Statement.parse(wingroad.Given.read("r"
+        loop.run(() -> members.dispatch(new Exchange.MemberRequest("t", submissions, 1, Statement.parse(wingroad.Given.read("r"
             + submissions++).getBytes(StandardCharsets.UTF_8)).statement(), clock.now().plus(LONG))));
     }
 
@@ -521,7 +521,7 @@
             // In the turn of its answer: its rest has begun, and can't be over.
             atItsEnd = () -> {
                 mayGo = false;
-                members.carry(errandToTheOne());
+                members.dispatch(requestToTheOne());
             };
             answer(at);
             assertThat(next().end()).isEqualTo(End.COMMITTED);
@@ -534,8 +534,8 @@
         }
     }
 
-    private Exchange.Errand errandToTheOne() {
-        return new Exchange.Errand("t", submissions, 1, Statement.parse(wingroad.Given.read("r"
+    private Exchange.MemberRequest requestToTheOne() {
+        return new Exchange.MemberRequest("t", submissions, 1, Statement.parse(wingroad.Given.read("r"
             + submissions++).getBytes(StandardCharsets.UTF_8)).statement(), clock.now().plus(LONG));
     }
 
@@ -606,7 +606,7 @@
         members = members(Duration.ofSeconds(10), Duration.ofSeconds(8));
         try (StandInMember m = new StandInMember(false, (sql, s) -> s.row("x", false))) {
             for (int i = 0; i < 3; i++) {
-                carry(m.port(), LONG);
+                dispatch(m.port(), LONG);
                 assertThat(next().end()).isEqualTo(End.COMMITTED);
             }
             assertThat(m.connections.get()).isEqualTo(1);
