--- a/examples/fleet.sh
+++ b/examples/fleet.sh
@@ -1,5 +1,6 @@
 #!/bin/sh
-# A small fleet on loopback: three members, their discovery and three drivers that vote. From the folder above, after a build:
+# A small fleet on loopback: three members, their discovery and three drivers that vote, with a chore that one of them runs for all.
+# From the folder above, after a build:
 #   sh examples/fleet.sh
 # It says what to type in another terminal to take a member's machine out and bring it back. Enter ends all of it.
 set -eu
@@ -22,6 +23,7 @@
     voter "d2" "127.0.0.1:7402"
     voter "d3" "127.0.0.1:7403"
     state "$dir/d$n"
+    chore "sweep" every=5 group=1 statement="INSERT INTO records (k, v) VALUES ('swept-{epoch}', '\\\\x01') RETURNING v"
     work {
         watch 2
         machine "rack1" zone="a" { member "toy-5501" group=1 }
@@ -42,6 +44,7 @@
 done
 cat <<TEXT
 Three drivers run; their logs are in $dir. In another terminal:
+  java -jar target/wingroad.jar fleet status --operator $dir/d1.kdl
   java -jar target/wingroad.jar work ask rack2 --for 10m --why "first try" --operator $dir/d1.kdl
   java -jar target/wingroad.jar work plan --operator $dir/d1.kdl
   java -jar target/wingroad.jar work show rack2 --operator $dir/d1.kdl
