--- a/src/main/java/wingroad/fleet/ConsensusNode.java
+++ b/src/main/java/wingroad/fleet/ConsensusNode.java
@@ -668,10 +668,12 @@
     private Map<String, Object> presence(String kind, String caller) {
         ConsensusStore.Seen s = store.seen(caller);
         RaftGroupMembers members = node == null ? null : node.getCommittedMembers();
+        RaftEndpoint leader = node == null ? null : node.getTerm().getLeaderEndpoint();
         return MessageCodec.message(kind, "fleet", rules.name(), "name", rules.driver(), "identity", store.identity(), "group",
-            store.group(), "voters", new TreeMap<>(node == null ? store.voters() : register.voters()), "members", members == null ? List.of() : MessageCodec.ids(members.getMembers()),
-            "members-at", members == null ? 0 : members.getLogIndex(), "term", s.term(), "entry-term", s.entryTerm(), "index", s.index(), "lead", node == null
-                || node.getTerm().getLeaderEndpoint() == null ? "" : ((Endpoint) node.getTerm().getLeaderEndpoint()).name());
+            store.group(), "voters", new TreeMap<>(node == null ? store.voters() : register.voters()), "members",
+            members == null ? List.of() : MessageCodec.ids(members.getMembers()), "members-at",
+            members == null ? 0 : members.getLogIndex(), "term", s.term(), "entry-term", s.entryTerm(), "index", s.index(), "lead",
+            leader == null ? "" : ((Endpoint) leader).name());
     }
 
     /** The connection that this voter keeps to another one: what it sends goes there, what it gets comes by the other's. */
--- a/src/main/java/wingroad/fleet/Fleet.java
+++ b/src/main/java/wingroad/fleet/Fleet.java
@@ -154,8 +154,8 @@
             councilSession.work(worker);
             councilSession.start(new Chores(here, rules, councilSession, runner));
             log.accept("fleet: driver " + rules.driver() + " of fleet " + rules.name() + ", " + (rules.listen() == null
-                ? "no voter" : "listens at " + door.at().getHostString() + ":" + door.at().getPort()) + ", lease " + rules.lease().held().toMillis() + " ms, "
-                + rules.duties().size() + " duties");
+                ? "no voter" : "listens at " + door.at().getHostString() + ":" + door.at().getPort()) + ", lease "
+                + rules.lease().held().toMillis() + " ms, " + rules.duties().size() + " duties");
         } catch (IOException | RuntimeException e) {
             if (!e.toString().equals(failure)) {
                 failure = e.toString();
