DriverIT: the second configuration goes by a pipe of its own, under the same name

Cause: both configurations went by one named pipe; where the driver had not closed it yet after the first, the test's second opening met that reader, which closed it. Another pipe takes the name once the first is open.

--- a/src/test/java/wingroad/driver/DriverIT.java
+++ b/src/test/java/wingroad/driver/DriverIT.java
@@ -18,6 +18,7 @@
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.nio.file.StandardCopyOption;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.BlockingQueue;
@@ -536,9 +537,12 @@
     void aHangUpWhileTheConfigurationIsReadIsFollowedOnceItServes() throws Exception {
         String whole = Files.readString(Path.of(config(0, 1024)));
         Path pipe = dir.resolve("pipe");
-        assertThat(new ProcessBuilder("mkfifo", pipe.toString()).start().waitFor()).isZero();
+        Path second = dir.resolve("second");
+        assertThat(new ProcessBuilder("mkfifo", pipe.toString(), second.toString()).start().waitFor()).isZero();
         driver = java(pipe);
         try (OutputStream out = toReader(pipe)) {
+            // Under the same name from now on: the first reader may be slow to close the one that it has, and is not met again.
+            Files.move(second, pipe, StandardCopyOption.ATOMIC_MOVE);
             send("HUP");
             out.write(whole.getBytes(StandardCharsets.UTF_8));
         }
