Review: clients are served other requests' values after a second copy

A member's second copy right behind its answer is held back by the system until the driver's next statement acknowledges the answer, later than the 4 to 8 ms that the connection rests. It is taken for that statement's answer, and all later answers on the connection are shifted.

--- a/review/src/Graz.java
+++ b/review/src/Graz.java
@@ -57,6 +57,10 @@
 
         @Override
         Rig.Answer answer(Rig.Request request) throws Exception {
+            return finish(this, request, run(request));
+        }
+
+        private Rig.Answer run(Rig.Request request) throws Exception {
             attempts.add(new Attempt(rig.ms(), uid, request));
             rig.log(uid + " gets " + (request.write ? "write " : "read ") + request.key + " id " + request.id + " d "
                     + request.timeLeft);
@@ -81,6 +85,11 @@
                     isPrimary(), positionMs());
         }
 
+        @Override
+        boolean noDelay() {
+            return Graz.this.noDelay();
+        }
+
         @Override
         boolean isPrimary() {
             return primary == this;
@@ -92,6 +101,15 @@
         }
     }
 
+    /** What a case makes of an answer. */
+    Rig.Answer finish(Node node, Rig.Request request, Rig.Answer answer) {
+        return answer;
+    }
+
+    boolean noDelay() {
+        return true;
+    }
+
     /** Work of the fleet's own statement. */
     void chore(Rig.Request request) throws Exception {
         Rig.sleep(workMs);
--- a/review/src/OwnWrite.java
+++ b/review/src/OwnWrite.java
@@ -106,7 +106,8 @@
                 boolean reset = rig.trouble && request.key.equals("account-17");
                 rig.log(uid + " has committed write " + request.key + " id " + request.id
                         + (reset ? "; its connection is reset behind the CommandComplete" : ""));
-                return new Rig.Answer(HexFormat.of().parseHex(request.value()), null, true, unixAtZero + at, reset);
+                return new Rig.Answer(HexFormat.of().parseHex(request.value()), null, true, unixAtZero + at,
+                        reset ? Rig.Spoil.RESET_AFTER_ROW : Rig.Spoil.NONE);
             }
             reads.add(new Served(request.id, uid, applied));
             return new Rig.Answer(value.getBytes(StandardCharsets.UTF_8), null, isPrimary(), positionMs());
--- a/review/src/Rig.java
+++ b/review/src/Rig.java
@@ -71,7 +71,11 @@
 
     private Rig(Path folder) throws IOException {
         this.folder = folder;
-        root = folder.getParent().getParent();
+        Path up = folder;
+        while (!Files.exists(up.resolve("deploy/balancer.toml"))) {
+            up = up.getParent();
+        }
+        root = up;
         temp = Files.createTempDirectory("review");
         record = new PrintStream(Files.newOutputStream(folder.resolve("record.txt")), true, StandardCharsets.UTF_8);
         log("disruption " + (trouble ? "on" : "off (TROUBLE=0)"));
@@ -250,12 +254,20 @@
     }
 
     /** What a member answers: a row, or an error. */
-    record Answer(byte[] row, String sqlState, boolean primary, double positionMs, boolean resetAfterRow) {
+    record Answer(byte[] row, String sqlState, boolean primary, double positionMs, Spoil spoil) {
         Answer(byte[] row, String sqlState, boolean primary, double positionMs) {
-            this(row, sqlState, primary, positionMs, false);
+            this(row, sqlState, primary, positionMs, Spoil.NONE);
         }
     }
 
+    enum Spoil {
+        NONE,
+        /** The answer goes out in two pieces, and the connection is reset between them. */
+        RESET_AFTER_ROW,
+        /** A second copy of the answer is written right behind it. */
+        SECOND_COPY
+    }
+
     abstract static class Member {
         final String uid;
         final ServerSocket listener;
@@ -280,12 +292,17 @@
 
         abstract boolean isPrimary();
 
+        /** Whether it sets TCP_NODELAY; the system's usual is not. */
+        boolean noDelay() {
+            return true;
+        }
+
         /** Unix time in ms up to which it has applied the log. */
         abstract double positionMs();
 
         private void serve(Socket socket) throws Exception {
             try (socket) {
-                socket.setTcpNoDelay(true);
+                socket.setTcpNoDelay(noDelay());
                 DataInputStream in = new DataInputStream(socket.getInputStream());
                 OutputStream out = socket.getOutputStream();
                 in.readNBytes(in.readInt() - 4);
@@ -298,16 +315,19 @@
                             : answer(new Request(sql));
                     byte[] first = answer.row != null ? row(answer.row)
                             : message('E', text("SERROR"), text("C" + answer.sqlState), text("Mno"), new byte[1]);
-                    if (answer.resetAfterRow) {
-                        // The answer goes out in two pieces, and the connection is reset between them.
+                    if (answer.spoil == Spoil.RESET_AFTER_ROW) {
                         out.write(first);
                         sleep(30);
                         socket.setSoLinger(true, 0);
                         return;
                     }
-                    out.write(joined(first, parameter("part", answer.primary ? "master" : "replica"),
+                    byte[] whole = joined(first, parameter("part", answer.primary ? "master" : "replica"),
                             parameter("caught_up_to", Long.toString((long) answer.positionMs)),
-                            parameter("gauges", gauges()), READY));
+                            parameter("gauges", gauges()), READY);
+                    out.write(whole);
+                    if (answer.spoil == Spoil.SECOND_COPY) {
+                        out.write(whole);
+                    }
                 }
             }
         }
