Review: a read of the latest goes to a former primary after its late answer

The role in an answer is dated by its arrival, so an answer from before a primary was cut off makes it the primary again although it has said since that it is a replica; a read that must see every write misses an answered one.

--- a/review/src/Rig.java
+++ b/review/src/Rig.java
@@ -33,6 +33,8 @@
     final Path root;
     final Path temp;
     final boolean trouble = !"0".equals(System.getenv("TROUBLE"));
+    /** What the shell does before it starts a driver; usually nothing. */
+    String startPrefix = "";
     private final PrintStream record;
     private final long startNanos = System.nanoTime();
     private final List<Process> processes = new ArrayList<>();
@@ -170,7 +172,7 @@
                     + "\"known\":" + known + ",\n\"settings\":" + settings + "}\n");
             logFile = temp.resolve(name + "-" + ids.incrementAndGet() + ".log");
             List<String> command = new ArrayList<>(List.of("/bin/sh", "-c",
-                    "exec /bin/sh deploy/serve.sh" + (operatorFile == null ? "" : " --operator " + operatorFile)));
+                    startPrefix + "exec /bin/sh deploy/serve.sh" + (operatorFile == null ? "" : " --operator " + operatorFile)));
             ProcessBuilder builder = new ProcessBuilder(command).directory(root.toFile())
                     .redirectErrorStream(true).redirectOutput(logFile.toFile());
             builder.environment().put("LB_NAME", name);
@@ -343,6 +345,7 @@
         final ServerSocket listener;
         private final Map<String, String> entries = new TreeMap<>();
         private final Map<String, Long> changedAt = new TreeMap<>();
+        private final java.util.Set<Socket> sockets = java.util.concurrent.ConcurrentHashMap.newKeySet();
         private long revision;
         private boolean silent;
 
@@ -377,6 +380,14 @@
             notifyAll();
         }
 
+        /** No more calls are taken, and the open ones are closed. */
+        void close() throws IOException {
+            listener.close();
+            for (Socket socket : List.copyOf(sockets)) {
+                socket.close();
+            }
+        }
+
         private synchronized String answer(long since, long timeoutMs) throws InterruptedException {
             long end = System.nanoTime() + timeoutMs * 1_000_000;
             while (silent || since >= 0 && revision <= since && System.nanoTime() < end) {
@@ -395,6 +406,7 @@
         }
 
         private void serve(Socket socket) throws Exception {
+            sockets.add(socket);
             try (socket) {
                 InputStream in = socket.getInputStream();
                 StringBuilder head = new StringBuilder();
