Router: a session's reads see its write that was answered without a position

Cause: the connection is reset behind CommandComplete, before caught_up_to. The submission ends as committed with no position, and TxnRouter.submissionEnded recorded a session's write only where there was one, so its reads had no required position. Ruled out: replicas that report a position too new (the record shows theirs to be right), an answer sent before the write is recorded (one task of the event loop), forgotten sessions (150 ms).

Change: without a position the answer's arrival counts. It is later than the commit, so no read is too old. The same covers a caught_up_to that can't be read.

--- a/src/main/java/wingroad/routing/TxnRouter.java
+++ b/src/main/java/wingroad/routing/TxnRouter.java
@@ -473,10 +473,8 @@
             }
             if (submission.txn.type.isUpdate()
                     && submission.txn.session >= 0
-                    && position != null
                     && "router".equals(settings.get("session-marks"))) {
-                lastWriteBySession.merge(submission.txn.session, position, Durations::max);
-                forgetOldSessionWrites(now);
+                recordSessionWrite(submission.txn.session, position, now);
             }
         }
         if (outcome == Outcome.TIMED_OUT) {
@@ -525,6 +523,17 @@
         }
     }
 
+    /**
+     * Records a committed write, which later reads of its session must see.
+     *
+     * @param position the write's commit time; null if its answer did not tell, as where the
+     *     connection was lost behind the row: the answer's arrival, which is later, counts then
+     */
+    private void recordSessionWrite(long session, Duration position, Duration now) {
+        lastWriteBySession.merge(session, position == null ? now : position, Durations::max);
+        forgetOldSessionWrites(now);
+    }
+
     private void forgetOldSessionWrites(Duration now) {
         Iterator<Duration> iterator = lastWriteBySession.values().iterator();
         for (Duration writtenAt = iterator.next();
--- a/src/test/java/wingroad/driver/DriverIT.java
+++ b/src/test/java/wingroad/driver/DriverIT.java
@@ -4,6 +4,7 @@
 
 import static wingroad.Fixtures.ROW_DESCRIPTION;
 import static wingroad.Fixtures.cString;
+import static wingroad.Fixtures.dataRowBody;
 import static wingroad.Fixtures.listEntry;
 import static wingroad.Fixtures.message;
 import static wingroad.Fixtures.readStatement;
@@ -296,6 +297,41 @@
                 .containsExactly("row from new primary");
     }
 
+    /**
+     * Guards against a session that misses its own write: the connection to the primary ends behind
+     * the write's CommandComplete, before the position, and no replica has the write yet.
+     */
+    @Test
+    void sessionReadsItsWriteWhoseAnswerBrokeOffBeforeItsPosition() throws Exception {
+        Path configPath = Path.of(writeConfiguration(0, DEFAULT_DESCRIPTOR_LIMIT));
+        Files.writeString(
+                configPath,
+                Files.readString(configPath)
+                        .replace("[\"recent\",\"update\"]", "[\"own_writes\",\"update\"]")
+                        .replace("\"oldest-data\":[1500,0]", "\"oldest-data\":[0,0]")
+                        .replace("\"write-marks\":\"client\"", "\"write-marks\":\"router\""));
+        replica.replicationLagMs = TimeUnit.MINUTES.toMillis(1);
+        TestClient client = startAndConnect(startProcess(configPath.toString()));
+        primary.queryHandler(
+                (sql, session) -> {
+                    if (sql.contains("INSERT")) {
+                        session.send(
+                                message('T', ROW_DESCRIPTION),
+                                message('D', dataRowBody("written")),
+                                message('C', cString("INSERT 0 1")));
+                        session.closeSocket();
+                    } else {
+                        session.sendRow("written", true);
+                    }
+                });
+        assertThat(client.query(writeStatement("w")).readResponses())
+                .containsExactly("row written");
+        for (int i = 0; i < 8; i++) {
+            assertThat(client.query(readStatement("r" + i)).readResponses())
+                    .containsExactly("row written");
+        }
+    }
+
     @Test
     void memberListUpdatesAreApplied() throws Exception {
         TestClient client = startAndConnect();
--- a/src/test/java/wingroad/routing/TxnRouterTest.java
+++ b/src/test/java/wingroad/routing/TxnRouterTest.java
@@ -660,19 +660,39 @@
                 .doesNotContain(1L);
     }
 
+    /**
+     * Guards against a session that misses its own write: the connection may be lost between the
+     * write's CommandComplete and the position, and the write is answered as committed all the
+     * same.
+     */
+    @Test
+    void sessionSeesItsWriteThatWasCommittedWithoutAPosition() {
+        Fixtures fixture =
+                new Fixtures()
+                        .withSetting("session-marks", "router")
+                        .withTxnType(READ, "repeatable", "own-writes", 600, 2000);
+        fixture.withGroup(1, 2).rolesReported(5, 2);
+        sessionWriteArrives(fixture, 100, "w", 5);
+        fixture.router.submissionEnded(
+                millis(180), "w", 0, 1, Outcome.COMMITTED, millis(80), true, Role.UNKNOWN, null);
+        fixture.memberReports(190, 2, Role.REPLICA, 150);
+        fixture.router.txnArrived(
+                millis(200), "r", READ, GROUP_ID, millis(2000), 5, null, false, millis(0));
+        assertThat(ofKind(Kind.SUBMIT, fixture.decisions(200)))
+                .extracting(Decision::member)
+                .doesNotContain(2L);
+        // The write was committed before its answer arrived, so this position includes it.
+        fixture.memberReports(210, 2, Role.REPLICA, 190);
+        fixture.router.txnArrived(
+                millis(211), "s", READ, GROUP_ID, millis(2000), 5, null, false, millis(0));
+        assertThat(ofKind(Kind.SUBMIT, fixture.decisions(211)))
+                .extracting(Decision::txn, Decision::member)
+                .contains(tuple("s", 2L));
+    }
+
     /** Runs a write of the session, which the primary, member 1, commits at {@code nowMs}. */
     private static void commitWrite(Fixtures fixture, long nowMs, String txnId, long session) {
-        fixture.router.txnArrived(
-                millis(nowMs),
-                txnId,
-                WRITE,
-                GROUP_ID,
-                millis(3000),
-                session,
-                null,
-                false,
-                millis(0));
-        fixture.decisions(nowMs);
+        sessionWriteArrives(fixture, nowMs, txnId, session);
         fixture.router.submissionEnded(
                 millis(nowMs + 5),
                 txnId,
@@ -686,6 +706,22 @@
         fixture.decisions(nowMs + 5);
     }
 
+    /** Lets a write of the session arrive, which is submitted to the primary at once. */
+    private static void sessionWriteArrives(
+            Fixtures fixture, long nowMs, String txnId, long session) {
+        fixture.router.txnArrived(
+                millis(nowMs),
+                txnId,
+                WRITE,
+                GROUP_ID,
+                millis(3000),
+                session,
+                null,
+                false,
+                millis(0));
+        fixture.decisions(nowMs);
+    }
+
     @Test
     void singleReadTestsWhetherAnUnresponsivePrimaryStillAnswers() {
         Fixtures fixture = new Fixtures().withGroup(1, 2).rolesReported(5, 2);
