Members: an empty query behind each response proves that no copy follows

Cause: nothing in a response names its statement. MemberConnection.reuseDelayElapsed took the order for certain again after 4 to 8 ms without data. A member without TCP_NODELAY writes the copy as a small write, which its system holds back until the first is acknowledged; ours acknowledges after 40 ms or with the next statement, so that the copy came as that statement's response. Ruled out: the decoder (a copy in the same read ends the connection), the client side, and a longer delay as a mend (a lost segment takes 200 ms and more).

Change: an empty query follows each response, and the connection is reused only once it is answered, with nothing else before it, and the delay is over. Members answer in order, so a copy has come by then, and closes the connection while no statement is out. Without an answer within the connecting time it is closed, and a request that waits for it counts as never sent. The same cause on a related path: bytes behind the startup's answer were taken for the first response.

Tests that stand in for a member answer the empty query now; none is relaxed: unexpectedBytesCloseIdleConnection and the two others that reuse a connection go on as before.

--- a/examples/Toy.java
+++ b/examples/Toy.java
@@ -105,7 +105,9 @@
             boolean leads = port == primary;
             String[] quoted = sql.split("'");
             byte[] answer;
-            if (sql.equals("SHOW gauges")) {
+            if (sql.isEmpty()) {
+                answer = message('I');
+            } else if (sql.equals("SHOW gauges")) {
                 answer = row(("x0=" + System.currentTimeMillis() / 1000.0 + ",x1=" + (leads ? 1 : 0))
                     .getBytes(StandardCharsets.UTF_8));
             } else if (!sql.contains("INSERT")) {
--- a/src/main/java/wingroad/driver/MemberConnection.java
+++ b/src/main/java/wingroad/driver/MemberConnection.java
@@ -15,6 +15,11 @@
 /**
  * One connection to a member. It carries one request at a time, and is closed whenever the state of
  * its stream is in doubt.
+ *
+ * <p>Nothing in a response names its statement: one is the response to the other by their order
+ * alone. So each response is followed by an empty query, and the connection is reused only once
+ * that is answered. A member answers in order; whatever it sent before, such as a second copy of
+ * the response, has arrived by then, however late, and closes the connection.
  */
 final class MemberConnection implements Connection.Handler {
     private enum State {
@@ -22,9 +27,10 @@
         /** The startup message is sent and not answered yet. */
         STARTING_UP,
         /**
-         * Idle for less than {@link MemberPools}' reuse delay; it may have a request that waits.
+         * Waits for the response to an empty query and for the end of {@link MemberPools}' reuse
+         * delay; it may have a request that waits.
          */
-        REUSE_DELAYED,
+        VALIDATING,
         IDLE,
         AWAITING_RESPONSE,
         CLOSED
@@ -51,9 +57,16 @@
     /** The request is cancelled; its end will be reported in a later task. */
     private boolean cancelled;
 
+    /** Whether the empty query behind the last response is answered. */
+    private boolean validated;
+
+    /** Whether the reuse delay behind the last response is over. */
+    private boolean reuseDelayOver;
+
     private EventLoop.Timer connectTimer;
     private EventLoop.Timer requestTimer;
     private EventLoop.Timer idleTimer;
+    private EventLoop.Timer validationTimer;
 
     private MemberConnection(
             MemberPools pools,
@@ -108,7 +121,7 @@
                         () -> abandonRequest("response timed out", progress().outcomeIfTimedOut()));
     }
 
-    /** Sends a request on an idle connection, at once or after the reuse delay. */
+    /** Sends a request on an idle connection, at once or as soon as it is validated. */
     void dispatch(MemberRequest newRequest) {
         idleTimer.cancel();
         assign(newRequest);
@@ -121,12 +134,24 @@
         return state == State.IDLE;
     }
 
+    void reuseDelayElapsed() {
+        reuseDelayOver = true;
+        endValidation();
+    }
+
+    private void emptyQueryAnswered() {
+        validationTimer.cancel();
+        input.reset();
+        validated = true;
+        endValidation();
+    }
+
     /**
      * Makes the connection reusable. No surplus data followed the last response, so whatever
      * arrives from now on belongs to the next request.
      */
-    void reuseDelayElapsed() {
-        if (state == State.REUSE_DELAYED) {
+    private void endValidation() {
+        if (state == State.VALIDATING && validated && reuseDelayOver) {
             state = State.IDLE;
             if (request != null) {
                 sendIfStillWanted();
@@ -134,6 +159,19 @@
         }
     }
 
+    /** Closes the connection of a member that leaves even an empty query unanswered. */
+    private void validationTimedOut() {
+        MemberRequest unsent = request;
+        closeConnection();
+        if (unsent != null) {
+            pools.requestFailed(
+                    unsent,
+                    Outcome.UNREACHABLE,
+                    pools.connectTimeout(),
+                    "empty query not answered");
+        }
+    }
+
     private void sendRequest() {
         state = State.AWAITING_RESPONSE;
         written = false;
@@ -158,7 +196,7 @@
     @Override
     public void onBytes(ByteBuffer in) {
         while (state != State.CLOSED) {
-            if (state == State.IDLE || state == State.REUSE_DELAYED) {
+            if (state == State.IDLE || state == State.VALIDATING && validated) {
                 if (in.hasRemaining()) {
                     failProtocol(
                             "unexpected data "
@@ -170,7 +208,7 @@
                 case INCOMPLETE -> {
                     return;
                 }
-                case COMPLETE -> responseReceived();
+                case COMPLETE -> responseReceived(in.hasRemaining());
                 default -> {
                     failProtocol(input.malformedReason());
                     return;
@@ -179,16 +217,29 @@
         }
     }
 
-    private void responseReceived() {
+    /**
+     * Handles a complete response.
+     *
+     * @param surplus whether more data has arrived behind it, which nothing has asked for
+     */
+    private void responseReceived(boolean surplus) {
         boolean fatal = input.fatal();
-        if (state == State.STARTING_UP && input.errorSqlState() == null) {
-            connectTimer.cancel();
-            input.reset();
-            sendIfStillWanted();
+        if (state == State.STARTING_UP && input.errorSqlState() != null) {
+            failProtocol("startup rejected");
+            return;
+        }
+        if (surplus && state != State.AWAITING_RESPONSE) {
+            failProtocol("unexpected data after a response");
+            return;
+        }
+        if (state == State.VALIDATING) {
+            emptyQueryAnswered();
             return;
         }
         if (state == State.STARTING_UP) {
-            failProtocol("startup rejected");
+            connectTimer.cancel();
+            input.reset();
+            sendIfStillWanted();
             return;
         }
         MemberRequest answeredRequest = request;
@@ -199,10 +250,13 @@
         input.reset();
         // A member that responds has read the query, even if the write's completion is not handled
         // yet: on one core the response may well be handled first.
-        if (fatal) {
+        if (fatal || surplus) {
             closeConnection();
         } else {
-            becomeIdle();
+            returnToPool(State.VALIDATING);
+        }
+        if (state == State.VALIDATING) {
+            startValidation();
         }
         pools.requestAnswered(answeredRequest, response, elapsed);
     }
@@ -215,7 +269,7 @@
             MemberRequest unwanted = request;
             requestTimer.cancel();
             request = null;
-            becomeIdle();
+            returnToPool(State.IDLE);
             pools.requestFailed(
                     unwanted, Outcome.MOOT, Duration.ZERO, "obsolete before it was sent");
         }
@@ -232,8 +286,8 @@
     }
 
     /** Returns the connection to its pool, or closes it if the member has moved or is gone. */
-    private void becomeIdle() {
-        state = State.REUSE_DELAYED;
+    private void returnToPool(State stateInPool) {
+        state = stateInPool;
         if (!pool.isCurrentAddress(address)) {
             close();
             return;
@@ -241,6 +295,15 @@
         requestOrIdleSince = pools.now();
         idleTimer = loop.schedule(pools.idleTimeout(), this::close);
         pool.addIdle(this);
+    }
+
+    /** Sends the empty query whose response shows that nothing else follows the last response. */
+    private void startValidation() {
+        validated = false;
+        reuseDelayOver = false;
+        validationTimer = loop.schedule(pools.connectTimeout(), this::validationTimedOut);
+        input.expectEmptyQueryResponse();
+        connection.send(MemberMessageEncoder.emptyQuery());
         pools.delayReuse(this);
     }
 
@@ -285,7 +348,7 @@
         if (stateBefore == State.CLOSED) {
             return;
         }
-        if (stateBefore == State.REUSE_DELAYED && lostRequest != null) {
+        if (stateBefore == State.VALIDATING && lostRequest != null) {
             // Nothing of the request was sent, and the member was reachable: this is no failure of
             // the submission.
             pools.requestFailed(lostRequest, Outcome.MOOT, Duration.ZERO, reason);
@@ -350,7 +413,7 @@
 
     /** Closes the connection, with a Terminate message if it is idle. */
     void close() {
-        if (state == State.IDLE || state == State.REUSE_DELAYED) {
+        if (state == State.IDLE || state == State.VALIDATING) {
             connection.send(MemberMessageEncoder.terminate());
         }
         closeConnection();
@@ -360,7 +423,7 @@
         state = State.CLOSED;
         request = null;
         for (EventLoop.Timer timer :
-                new EventLoop.Timer[] {connectTimer, requestTimer, idleTimer}) {
+                new EventLoop.Timer[] {connectTimer, requestTimer, idleTimer, validationTimer}) {
             if (timer != null) {
                 timer.cancel();
             }
--- a/src/main/java/wingroad/driver/MemberPools.java
+++ b/src/main/java/wingroad/driver/MemberPools.java
@@ -28,10 +28,9 @@
  */
 final class MemberPools implements TxnDispatcher.MemberTransport {
     /**
-     * How long a connection is left unused after a response. Guards against surplus data, such as a
-     * second copy of the response in a packet of its own, that would be taken for the response to
-     * the next request. A second copy follows at once, so the delay is a few times the transit time
-     * of a packet; it costs less than a new connection.
+     * How long a connection is left unused at least after a response, while it is validated by an
+     * empty query. Guards against a member that writes surplus data only after it has answered the
+     * empty query; a few times the transit time of a packet.
      */
     private static final Duration REUSE_DELAY = Duration.ofMillis(4);
 
@@ -73,7 +72,7 @@
 
         private final Set<MemberConnection> connections = new LinkedHashSet<>();
 
-        /** Includes connections in their reuse delay; the most recently used one is last. */
+        /** Includes connections under validation; the most recently used one is last. */
         private final ArrayDeque<MemberConnection> idleConnections = new ArrayDeque<>();
 
         private MemberPool(String uid, long id) {
@@ -99,7 +98,7 @@
         }
 
         /**
-         * The most recently used connection whose reuse delay is over, else the one that has waited
+         * The most recently used connection that is validated, else the one that has waited
          * longest, or null.
          */
         private MemberConnection takeIdle() {
@@ -148,6 +147,11 @@
         return clock.now();
     }
 
+    /** How long opening a connection may take, and validating it after a response. */
+    Duration connectTimeout() {
+        return connectTimeout;
+    }
+
     Duration idleTimeout() {
         return idleTimeout;
     }
--- a/src/main/java/wingroad/protocol/MemberMessageEncoder.java
+++ b/src/main/java/wingroad/protocol/MemberMessageEncoder.java
@@ -28,6 +28,14 @@
                 .flip();
     }
 
+    /**
+     * Encodes the query that a member answers at once and without effect, behind all that it has
+     * sent before.
+     */
+    public static ByteBuffer emptyQuery() {
+        return query(new byte[0]);
+    }
+
     /** Encodes the query for the member's load report. */
     public static ByteBuffer gaugesQuery() {
         return query("SHOW gauges".getBytes(StandardCharsets.UTF_8));
--- a/src/main/java/wingroad/protocol/MemberResponseDecoder.java
+++ b/src/main/java/wingroad/protocol/MemberResponseDecoder.java
@@ -45,6 +45,8 @@
     }
 
     private boolean startupAnswered;
+    private boolean emptyQuerySent;
+    private boolean emptyQueryAnswered;
     private boolean rowDescribed;
     private byte[] value;
     private boolean rowReceived;
@@ -86,6 +88,7 @@
                         case 'T' -> decodeRowDescription(body);
                         case 'D' -> decodeDataRow(body);
                         case 'C' -> decodeCommandComplete(body);
+                        case 'I' -> decodeEmptyQueryResponse(body);
                         case 'Z' -> body.remaining() == 1 && "ITE".indexOf(body.get()) >= 0;
                         default -> body.remaining() >= 8;
                     };
@@ -121,12 +124,21 @@
         boolean inSequence =
                 switch (type) {
                     case 'S', 'N', 'A' -> true;
-                    case 'E' -> errorSqlState == null && !commandCompleted;
+                    case 'I' -> emptyQuerySent && !emptyQueryAnswered;
+                    case 'E' -> !emptyQuerySent && errorSqlState == null && !commandCompleted;
                     case 'R', 'K', 'v' -> !startupAnswered;
-                    case 'T' -> startupAnswered && !rowDescribed && errorSqlState == null;
+                    case 'T' ->
+                            startupAnswered
+                                    && !emptyQuerySent
+                                    && !rowDescribed
+                                    && errorSqlState == null;
                     case 'D' -> rowDescribed && !rowReceived && errorSqlState == null;
                     case 'C' -> rowReceived && !commandCompleted && errorSqlState == null;
-                    case 'Z' -> !startupAnswered || commandCompleted || errorSqlState != null;
+                    case 'Z' ->
+                            !startupAnswered
+                                    || commandCompleted
+                                    || emptyQueryAnswered
+                                    || errorSqlState != null;
                     default -> false;
                 };
         if (!inSequence) {
@@ -187,6 +199,11 @@
         return commandCompleted;
     }
 
+    private boolean decodeEmptyQueryResponse(ByteBuffer body) {
+        emptyQueryAnswered = !body.hasRemaining();
+        return emptyQueryAnswered;
+    }
+
     private boolean decodeErrorResponse(ByteBuffer body) {
         String sqlState = null;
         while (body.hasRemaining()) {
@@ -213,10 +230,18 @@
         return State.MALFORMED;
     }
 
+    /** Prepares for the response to an empty query, which allows neither a row nor an error. */
+    public void expectEmptyQueryResponse() {
+        reset();
+        emptyQuerySent = true;
+    }
+
     /** Prepares for the next response. */
     public void reset() {
         nonRowBytes = 0;
         startupAnswered = true;
+        emptyQuerySent = false;
+        emptyQueryAnswered = false;
         rowDescribed = false;
         value = null;
         rowReceived = false;
--- a/src/test/java/wingroad/Fixtures.java
+++ b/src/test/java/wingroad/Fixtures.java
@@ -182,6 +182,11 @@
             socket.getOutputStream().write(concat(parts));
         }
 
+        /** Lets the system hold back small writes until earlier ones are acknowledged. */
+        public void delaySmallWrites() throws IOException {
+            socket.setTcpNoDelay(false);
+        }
+
         /** Sends a row of one value, the member's parameters and ReadyForQuery. */
         public void sendRow(String value, boolean primary) throws IOException {
             sendRow(value, primary, new byte[0]);
@@ -227,6 +232,7 @@
     }
 
     public static final byte[] READY_FOR_QUERY = message('Z', new byte[] {'I'});
+    public static final byte[] EMPTY_QUERY_RESPONSE = message('I');
     public static final byte[] ROW_DESCRIPTION = {
         0, 1, 'v', 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 17, -1, -1, -1, -1, -1, -1, 0, 1
     };
@@ -266,8 +272,8 @@
     }
 
     /**
-     * A fake member on its own port: it accepts every startup, answers probes, and passes other
-     * queries to its handler.
+     * A fake member on its own port: it accepts every startup, answers probes and empty queries,
+     * and passes other queries to its handler.
      */
     public static final class FakeMember implements AutoCloseable {
         private final ServerSocket serverSocket =
@@ -305,7 +311,9 @@
             for (int type = session.in.read(); type == 'Q'; type = session.in.read()) {
                 byte[] body = session.in.readNBytes(session.in.readInt() - 4);
                 String sql = new String(body, 0, body.length - 1, StandardCharsets.ISO_8859_1);
-                if (sql.equals("SHOW gauges")) {
+                if (sql.isEmpty()) {
+                    session.send(EMPTY_QUERY_RESPONSE, READY_FOR_QUERY);
+                } else if (sql.equals("SHOW gauges")) {
                     session.sendRow(
                             "x0="
                                     + (System.currentTimeMillis() - replicationLagMs) / 1000.0
--- a/src/test/java/wingroad/driver/DriverIT.java
+++ b/src/test/java/wingroad/driver/DriverIT.java
@@ -39,6 +39,7 @@
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.Semaphore;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 
 /**
  * Runs the packaged driver as a process of its own, started as deploy/balancer.toml does, and talks
@@ -52,6 +53,12 @@
     private static final int DEFAULT_DESCRIPTOR_LIMIT = 1024;
     private static final int LOW_DESCRIPTOR_LIMIT = 64;
 
+    /**
+     * Responses from one copy to the next. Linux acknowledges the first 16 or so segments of a
+     * connection at once, so that a copy is held back only after more than these.
+     */
+    private static final int RESPONSES_PER_COPY = 40;
+
     /** The codes that stand for a protocol version in PostgreSQL's startup packets. */
     private static final int CANCEL_REQUEST_CODE = 80877102;
 
@@ -297,6 +304,34 @@
                 .containsExactly("row from new primary");
     }
 
+    /**
+     * Guards against serving clients the values of other clients' requests: a member sends a second
+     * copy of some responses in a write of its own, which its system holds back until the driver
+     * acknowledges the first.
+     */
+    @Test
+    void secondCopyOfResponseIsNotServedToAnotherClient() throws Exception {
+        AtomicInteger responses = new AtomicInteger();
+        replica.queryHandler(
+                (sql, session) -> {
+                    session.delaySmallWrites();
+                    String value = "value of " + sql.replaceAll(".* id=([^,]*),.*", "$1");
+                    session.sendRow(value, false);
+                    if (responses.incrementAndGet() % RESPONSES_PER_COPY == 0) {
+                        session.sendRow(value, false);
+                    }
+                });
+        TestClient client = startAndConnect();
+        for (int i = 0; i < 4 * RESPONSES_PER_COPY + 2; i++) {
+            String id = "r" + i;
+            assertThat(client.query(readStatement(id)).readResponses())
+                    .containsExactly("row value of " + id);
+        }
+        assertThat(replica.connections.get())
+                .as("connections, of which a copy ends one each")
+                .isBetween(5, 10);
+    }
+
     /**
      * Guards against a session that misses its own write: the connection to the primary ends behind
      * the write's CommandComplete, before the position, and no replica has the write yet.
--- a/src/test/java/wingroad/driver/MemberPoolsTest.java
+++ b/src/test/java/wingroad/driver/MemberPoolsTest.java
@@ -2,6 +2,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import static wingroad.Fixtures.EMPTY_QUERY_RESPONSE;
 import static wingroad.Fixtures.READY_FOR_QUERY;
 import static wingroad.Fixtures.ROW_DESCRIPTION;
 import static wingroad.Fixtures.cString;
@@ -49,6 +50,9 @@
     /** Until when a member may respond, long enough that no request with it times out. */
     private static final Duration REQUEST_TIMEOUT = Duration.ofSeconds(15);
 
+    /** The message that follows each response. */
+    private static final byte[] EMPTY_QUERY = message('Q', cString(""));
+
     /** The id that the pools assign to the first member that is listed. */
     private static final long MOVING_MEMBER_ID = 1;
 
@@ -282,8 +286,7 @@
                     {'T', 0, 0},
                     {17}
                 }) {
-            // Sent in one write with the response. Bytes of a later write may arrive after the
-            // reuse delay, and can't be told from the next response then.
+            // Sent in one write with the response.
             try (FakeMember member =
                     new FakeMember(
                             false,
@@ -304,6 +307,77 @@
         }
     }
 
+    /**
+     * Guards against serving a client the value of another client's request: a second copy of a
+     * response arrives only once the driver sends again, as where the member's system holds back
+     * small writes until the first one is acknowledged.
+     */
+    @Test
+    void copyThatArrivesWithTheNextAcknowledgementIsNotTakenForTheNextResponse() throws Exception {
+        try (Peer.Listener member = new Peer.Listener()) {
+            updateMovingMember(member.port());
+            dispatchToMovingMember();
+            Peer connection = acceptStartup(member.accept());
+            sendResponse(connection);
+            assertThat(awaitCompletion().outcome()).isEqualTo(Outcome.COMMITTED);
+            dispatchToMovingMember();
+            connection.read(1);
+            sendResponse(connection);
+            connection.send(EMPTY_QUERY_RESPONSE, READY_FOR_QUERY);
+            // Nothing of the request was sent; its client is served on another connection.
+            assertThat(awaitCompletion().outcome()).isEqualTo(Outcome.MOOT);
+            dispatchToMovingMember();
+            Peer nextConnection = acceptStartup(member.accept());
+            nextConnection.send(
+                    message('T', ROW_DESCRIPTION),
+                    message('D', dataRowBody("own")),
+                    message('C', cString("SELECT 1")),
+                    READY_FOR_QUERY);
+            assertThat(new String(awaitCompletion().row(), StandardCharsets.ISO_8859_1))
+                    .contains("own");
+        }
+    }
+
+    /**
+     * Guards against a member that answers a statement and then hangs: a request that waits for the
+     * connection was never sent, and ends as soon as the validation has timed out.
+     */
+    @Test
+    void requestIsUnreachableIfTheEmptyQueryIsNotAnswered() throws Exception {
+        pools = createPools(Duration.ofMillis(200));
+        try (Peer.Listener member = new Peer.Listener()) {
+            updateMovingMember(member.port());
+            dispatchToMovingMember();
+            Peer connection = acceptStartup(member.accept());
+            sendResponse(connection);
+            assertThat(awaitCompletion().outcome()).isEqualTo(Outcome.COMMITTED);
+            dispatchToMovingMember();
+            assertThat(awaitCompletion().outcome()).isEqualTo(Outcome.UNREACHABLE);
+            assertThat(connection.readUntilClosed()).doesNotContain("SELECT");
+        }
+    }
+
+    /** Guards against taking what a member sends behind its startup for the first response. */
+    @Test
+    void unexpectedBytesBehindTheStartupAreNotTakenForTheFirstResponse() throws Exception {
+        try (Peer.Listener member = new Peer.Listener()) {
+            updateMovingMember(member.port());
+            dispatchToMovingMember();
+            Peer connection = member.accept();
+            connection.read(startupLength(connection) - 4);
+            connection.send(
+                    Fixtures.concat(
+                            message('R', new byte[4]),
+                            READY_FOR_QUERY,
+                            message('T', ROW_DESCRIPTION),
+                            message('D', dataRowBody("x")),
+                            message('C', cString("SELECT 1")),
+                            READY_FOR_QUERY));
+            assertThat(awaitCompletion().outcome()).isEqualTo(Outcome.UNREACHABLE);
+            assertThat(connection.readUntilClosed()).doesNotContain("SELECT");
+        }
+    }
+
     @Test
     void largeRowIsReadCompletelyAndItsBufferReleased() throws Exception {
         String largeValue = "z".repeat(1_000_000);
@@ -715,6 +789,7 @@
                     message('C', cString("SELECT 1")),
                     READY_FOR_QUERY);
             assertThat(awaitCompletion().outcome()).isEqualTo(Outcome.COMMITTED);
+            answerEmptyQuery(connection);
             connection.send(new byte[] {'S', 0, 0});
             connection.readUntilClosed();
             dispatchToMovingMember();
@@ -743,14 +818,20 @@
                 READY_FOR_QUERY);
     }
 
-    /** A client disconnects while its txn waits for a connection in its reuse delay. */
+    /** Waits for the empty query behind a response and answers it. */
+    private static void answerEmptyQuery(Peer connection) throws IOException {
+        assertThat(connection.read(EMPTY_QUERY.length)).isEqualTo(EMPTY_QUERY);
+        connection.send(EMPTY_QUERY_RESPONSE, READY_FOR_QUERY);
+    }
+
+    /** A client disconnects while its txn waits for a connection that is validated. */
     @Test
-    void requestOfDisconnectedClientIsNotSentAfterReuseDelay() throws Exception {
+    void requestOfDisconnectedClientIsNotSentAfterValidation() throws Exception {
         try (Peer.Listener member = new Peer.Listener()) {
             updateMovingMember(member.port());
             dispatchToMovingMember();
             Peer connection = acceptStartup(member.accept());
-            // Runs in the task that handles the response: the reuse delay has begun and can't be
+            // Runs in the task that handles the response: the validation has begun and can't be
             // over.
             onNextCompletion =
                     () -> {
@@ -759,6 +840,7 @@
                     };
             sendResponse(connection);
             assertThat(awaitCompletion().outcome()).isEqualTo(Outcome.COMMITTED);
+            answerEmptyQuery(connection);
             assertThat(awaitCompletion().outcome()).isEqualTo(Outcome.MOOT);
             mayDispatch = true;
             dispatchToMovingMember();
@@ -829,6 +911,7 @@
                 Peer connection = acceptStartup(member.accept());
                 sendResponse(connection);
                 assertThat(awaitCompletion().outcome()).isEqualTo(Outcome.COMMITTED);
+                answerEmptyQuery(connection);
                 dispatchToMovingMember();
                 connection.readUntil("'\0");
                 if (resets) {
--- a/src/test/java/wingroad/protocol/MemberResponseDecoderTest.java
+++ b/src/test/java/wingroad/protocol/MemberResponseDecoderTest.java
@@ -2,6 +2,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import static wingroad.Fixtures.EMPTY_QUERY_RESPONSE;
 import static wingroad.Fixtures.READY_FOR_QUERY;
 import static wingroad.Fixtures.ROW_DESCRIPTION;
 import static wingroad.Fixtures.cString;
@@ -103,6 +104,7 @@
             {message('T', new byte[] {0, 2}), ROW},
             {message('R', new byte[4])},
             {message('?')},
+            {EMPTY_QUERY_RESPONSE, READY_FOR_QUERY},
             {{'D', 0, 0, 0, 1}},
             {{'D', 100, 0, 0, 0}},
             {rowDescription, message('D', new byte[] {0, 1, 0, 0, 0, 9, 'x'})},
@@ -117,6 +119,35 @@
         }
     }
 
+    @Test
+    void emptyQueryHasItsOwnResponseAndNoOther() {
+        decoder = new MemberResponseDecoder();
+        decoder.expectEmptyQueryResponse();
+        byte[] notice = message('N', cString("Mnothing"), new byte[1]);
+        assertThat(
+                        decoder.decode(
+                                ByteBuffer.wrap(
+                                        concat(notice, EMPTY_QUERY_RESPONSE, READY_FOR_QUERY))))
+                .isEqualTo(State.COMPLETE);
+        byte[][] unexpected = {
+            message('T', ROW_DESCRIPTION),
+            message('E', cString("CXX000"), new byte[1]),
+            READY_FOR_QUERY,
+            concat(EMPTY_QUERY_RESPONSE, EMPTY_QUERY_RESPONSE)
+        };
+        for (byte[] bytes : unexpected) {
+            decoder = new MemberResponseDecoder();
+            decoder.expectEmptyQueryResponse();
+            assertThat(decoder.decode(ByteBuffer.wrap(bytes))).isEqualTo(State.MALFORMED);
+        }
+        decoder = new MemberResponseDecoder();
+        decoder.expectEmptyQueryResponse();
+        decoder.reset();
+        assertThat(decoder.decode(ByteBuffer.wrap(message('T', ROW_DESCRIPTION))))
+                .as("the next statement's response")
+                .isEqualTo(State.INCOMPLETE);
+    }
+
     @Test
     void ignoresMalformedGauges() {
         assertThat(Gauges.parse("x0=17.5,x1=,busy=abc,=3,rif=-2,q=1e400,zz"))
