Router: a late answer no longer makes a former primary the primary again

The log: "primary 1 confirmed by its own report", after member 2 had been found.

Cause: TxnRouter.submissionEnded dated the role in an answer by its arrival, so an answer written before the change was newer than the new primary's claim and than the former primary's own word that it is a replica. Ruled out: the new primary's claim (dated by position, it stood until then), the list's role, the check before sending.

Change: a claim to be the primary counts from the answer's position, and no earlier than the submission's start. Without a position it confirms only the primary on record, as staleReportDoesNotOverrideANewerAnswer asks; other claims count from the submission's start.

Related path, same cause: an answer from before a writer search ended it.

--- a/src/main/java/wingroad/routing/TxnRouter.java
+++ b/src/main/java/wingroad/routing/TxnRouter.java
@@ -502,7 +502,7 @@
             recordFailure(member, now, outcome);
         }
         if (role != Role.UNKNOWN) {
-            recordRole(member, role, now, now);
+            recordRole(member, role, roleProvenAt(submission, role, position, now), now);
         }
         recordPosition(member, position, now);
         Group group = member.group;
@@ -771,6 +771,24 @@
         markDirty(group);
     }
 
+    /**
+     * The time for which a submission's answer proves the member's role. An answer may arrive long
+     * after it was written, when another member is the primary: a claim to be the primary counts
+     * from the answer's position. Without a position it only confirms the primary on record; any
+     * other claim counts from the submission's start. A replica's position may lag behind by any
+     * time, so that its role counts from the arrival.
+     */
+    private static Duration roleProvenAt(
+            Submission submission, Role role, Duration position, Duration now) {
+        if (role == Role.REPLICA) {
+            return now;
+        }
+        if (position != null) {
+            return max(position, submission.sentAt);
+        }
+        return isConfirmedPrimary(submission.member) ? now : submission.sentAt;
+    }
+
     /**
      * Whether the member is the recorded primary and has not reported to be a replica since it last
      * claimed to be the primary. A report may be dated before that claim, and the primary stays on
--- a/src/test/java/wingroad/routing/TxnRouterTest.java
+++ b/src/test/java/wingroad/routing/TxnRouterTest.java
@@ -1302,6 +1302,77 @@
                 .containsExactly(2L);
     }
 
+    /**
+     * Guards against reads of old data after a delayed answer: a primary is cut off and replaced,
+     * tells that it is a replica, and its answer from before the change arrives last.
+     */
+    @Test
+    void lateAnswerOfAFormerPrimaryDoesNotMakeItThePrimaryAgain() {
+        for (Duration position : new Duration[] {millis(35), null}) {
+            Fixtures fixture =
+                    new Fixtures()
+                            .withTxnType(READ, "repeatable", "latest", 600, 3000)
+                            .withGroup(1, 2, 3)
+                            .rolesReported(5, 2, 3);
+            fixture.txnArrives(10, "delayed", WRITE, 3000);
+            fixture.txnArrives(10, "missed", WRITE, 3000);
+            assertThat(ofKind(Kind.SUBMIT, fixture.decisions(10)))
+                    .extracting(Decision::member)
+                    .containsExactly(1L, 1L);
+            fixture.submissionEnds(300, "missed", 0, 1, Outcome.MISSED, Role.REPLICA);
+            fixture.decisions(300);
+            fixture.memberReports(310, 2, Role.PRIMARY, 308);
+            fixture.decisions(310);
+            fixture.router.submissionEnded(
+                    millis(335),
+                    "delayed",
+                    0,
+                    1,
+                    Outcome.COMMITTED,
+                    millis(325),
+                    true,
+                    Role.PRIMARY,
+                    position);
+            fixture.decisions(335);
+            fixture.txnArrives(400, "read", READ, 3000);
+            fixture.txnArrives(400, "write", WRITE, 3000);
+            assertThat(ofKind(Kind.SUBMIT, fixture.decisions(400)))
+                    .as("position " + position)
+                    .extracting(Decision::txn, Decision::member)
+                    .containsExactlyInAnyOrder(tuple("read", 2L), tuple("write", 2L));
+        }
+    }
+
+    /**
+     * Guards against the end of a writer search by an answer that the primary gave before it was in
+     * doubt.
+     */
+    @Test
+    void answerFromBeforeTheWriterSearchDoesNotEndIt() {
+        Fixtures fixture = new Fixtures().withGroup(1, 2).rolesReported(5, 2);
+        fixture.txnArrives(10, "delayed", WRITE, 3000);
+        fixture.txnArrives(10, "lost", WRITE, 3000);
+        fixture.decisions(10);
+        fixture.submissionEnds(100, "lost", 0, 1, Outcome.ERROR, Role.UNKNOWN);
+        fixture.decisions(100);
+        fixture.router.submissionEnded(
+                millis(120),
+                "delayed",
+                0,
+                1,
+                Outcome.COMMITTED,
+                millis(110),
+                true,
+                Role.PRIMARY,
+                millis(90));
+        fixture.txnArrives(121, "next", WRITE, 3000);
+        assertThat(ofKind(Kind.SUBMIT, fixture.decisions(121))).isEmpty();
+        fixture.memberReports(130, 1, Role.PRIMARY, 125);
+        assertThat(ofKind(Kind.SUBMIT, fixture.decisions(130)))
+                .extracting(Decision::txn)
+                .containsExactly("next");
+    }
+
     /**
      * Guards against submitting held writes twice: two probes may confirm the same primary, and two
      * members may claim to be the primary.
