Work: a late claim does not make a former primary the one that the plan spares

A former primary's late answer could hide the present one from the controller, which takes a group's primary out last and waits for it to hand over.

Change: a claim counts from the position in the answer, and not if the member has reported its role since. The lag of a member whose claim is not believed is its position's age, not zero.

--- a/src/main/java/wingroad/driver/MaintenanceAgent.java
+++ b/src/main/java/wingroad/driver/MaintenanceAgent.java
@@ -324,11 +324,10 @@
     public void onMemberStatus(long member, Member.Role role, Duration position) {
         String uid = memberPools.uid(member);
         if (uid != null) {
-            boolean primary = role == Member.Role.PRIMARY;
             observations.recordReport(
                     uid,
-                    role == Member.Role.UNKNOWN ? null : primary,
-                    primary ? Duration.ZERO : position == null ? null : clock.now().minus(position),
+                    role == Member.Role.UNKNOWN ? null : role == Member.Role.PRIMARY,
+                    position == null ? null : clock.now().minus(position),
                     now());
         }
     }
--- a/src/main/java/wingroad/work/MemberObservations.java
+++ b/src/main/java/wingroad/work/MemberObservations.java
@@ -71,27 +71,42 @@
     }
 
     /**
-     * Records a member's answer; {@code primary} and {@code replicationLag} are null if it did not
-     * report them.
+     * Records a member's answer.
+     *
+     * @param primary whether it reported to be the primary; null if it did not report its role
+     * @param positionAge how long ago the log position in the answer was current, which is the age
+     *     of a primary's claim and the lag of a replica; null if it reported none
      */
-    public void recordReport(String uid, Boolean primary, Duration replicationLag, Duration now) {
+    public void recordReport(String uid, Boolean primary, Duration positionAge, Duration now) {
         Observation observation = byUid.get(uid);
         if (observation == null) {
             return;
         }
         observation.answeredAt = now;
         observation.consecutiveFailures = 0;
-        if (primary != null) {
-            observation.primary = primary;
+        if (Boolean.TRUE.equals(primary)) {
+            recordPrimaryClaim(observation, positionAge == null ? now : now.minus(positionAge));
+        } else if (primary != null) {
+            observation.primary = false;
             observation.roleAt = now;
         }
-        if (replicationLag != null) {
+        if (positionAge != null) {
+            boolean isPrimary =
+                    Boolean.TRUE.equals(primary) && Boolean.TRUE.equals(observation.primary);
             observation.replicationLag =
-                    replicationLag.isNegative() ? Duration.ZERO : replicationLag;
+                    isPrimary || positionAge.isNegative() ? Duration.ZERO : positionAge;
             observation.lagAt = now;
         }
     }
 
+    /** Records a claim to be the primary unless the member has reported its role since then. */
+    private static void recordPrimaryClaim(Observation observation, Duration claimedAt) {
+        if (observation.roleAt == null || claimedAt.compareTo(observation.roleAt) >= 0) {
+            observation.primary = true;
+            observation.roleAt = claimedAt;
+        }
+    }
+
     /** Records that a member did not answer. */
     public void recordFailure(String uid, Duration now) {
         Observation observation = byUid.get(uid);
