Router: limits, response times and session writes in classes of their own

No behaviour changes, and the random numbers are drawn in the same order.

Tests of the router, the state and the settings are green.

--- a/src/main/java/wingroad/routing/TxnRouter.java
+++ b/src/main/java/wingroad/routing/TxnRouter.java
@@ -7,12 +7,11 @@
 import static wingroad.state.Durations.toMillis;
 
 import wingroad.state.DecayingSum;
-import wingroad.state.Durations;
 import wingroad.state.Group;
-import wingroad.state.HostClassLoad;
 import wingroad.state.Member;
 import wingroad.state.Member.Role;
-import wingroad.state.ResponseTimes;
+import wingroad.state.ResponseTimeStatistics;
+import wingroad.state.SessionWrites;
 import wingroad.state.Submission;
 import wingroad.state.Submission.Outcome;
 import wingroad.state.Txn;
@@ -78,41 +77,15 @@
     /** Share of the primary's limit that reads may fill; the rest is left to the writes. */
     private static final double READ_SHARE_OF_PRIMARY_LIMIT = 0.75;
 
-    /** Credit that a member gains by an answer within the SLA time, as a multiple of its work. */
-    private static final double CREDIT_PER_TIMELY_ANSWER = 1.25;
-
-    /** A member with a low limit gets credit for one submission in this many time scales. */
-    private static final long CREDIT_INTERVAL_TIME_SCALES = 8;
-
-    /** Upper limit of that credit for all drivers together, in ms of work per ms. */
-    private static final double MAX_FLEET_CREDIT_RATE = 0.5;
-
-    /** Time for which a reported queue length is used at least, in time scales. */
-    private static final double MIN_QUEUE_REPORT_VALIDITY_TIME_SCALES = 4;
-
-    /**
-     * Part of the setting {@code fall-multiple} that a member in its warm-up is given credit for.
-     */
-    private static final double WARM_UP_CREDIT_FACTOR = 0.6;
-
     /** Unanswered work, in mean response times, after which a member counts as unresponsive. */
     private static final double UNRESPONSIVE_AFTER_MEAN_TIMES = 4;
 
-    /** Concurrency limit of a member whose answers have not set one yet. */
-    private static final double INITIAL_CONCURRENCY_LIMIT = 8;
-
     /** Multiplicative decrease of a concurrency limit; the increase is additive. */
     private static final double LIMIT_DECREASE_FACTOR = 0.75;
 
     /** Slowness ratio above which a replica's lag is attributed to its load. */
     private static final double LOADED_SLOWNESS_RATIO = 0.75;
 
-    /** Number of recent answers below which their mean does not change the baseline. */
-    private static final double MIN_BASELINE_SAMPLE_COUNT = 16;
-
-    /** Largest rise of a baseline response time with one answer. */
-    private static final double BASELINE_RISE_PER_ANSWER = 1.0002;
-
     /** Half-life of counts and mean response times, in multiples of {@link #timeScale}. */
     private static final long HALF_LIFE_TIME_SCALES = 4;
 
@@ -159,9 +132,6 @@
 
     private static final double BACKOFF_JITTER_RANGE = 0.5;
 
-    /** Time after which a session's last write is merged with those of other old sessions. */
-    private static final Duration SESSION_WRITE_RETENTION = Duration.ofSeconds(60);
-
     /**
      * A check that is scheduled for a certain time.
      *
@@ -170,18 +140,14 @@
      */
     private record ScheduledEvent(Duration dueAt, long sequence, Object target) {}
 
-    private final Map<String, Object> settings;
+    private final Settings settings;
     private final Random random;
     private final Consumer<String> log;
     private final TxnType[] txnTypes;
 
-    /** Response times over all members, by txn type index. */
-    private final ResponseTimes[] responseTimes;
-
-    /** Response times of the members of each host class, by txn type index. */
-    private final Map<Integer, ResponseTimes[]> responseTimesByHostClass = new HashMap<>();
-
-    private final Map<Integer, HostClassLoad> loadByHostClass = new LinkedHashMap<>();
+    private final ResponseTimeStatistics responseTimes;
+    private final MemberLimits limits;
+    private final SessionWrites sessionWrites = new SessionWrites();
     private final DecayingSum firstSubmissionCount;
     private final DecayingSum furtherSubmissionCount;
     private final DecayingSum endedCount;
@@ -215,12 +181,6 @@
     private final Map<Integer, Group> groups = new LinkedHashMap<>();
     private final Map<String, Txn> openTxns = new HashMap<>();
 
-    /** Commit time of each session's last write, least recently used first. */
-    private final Map<Long, Duration> lastWriteBySession = new LinkedHashMap<>(16, 0.75f, true);
-
-    /** Latest write of all sessions that are no longer tracked one by one, or null. */
-    private Duration lastWriteOfForgottenSessions;
-
     private final ArrayDeque<Decision> readyDecisions = new ArrayDeque<>();
 
     /** Groups that need a pass of {@link #processGroup}. */
@@ -243,21 +203,21 @@
     /**
      * Creates a router without members.
      *
-     * @param settings the deployment's settings by their names in {@code RouterSettings}; durations
-     *     as {@link Duration}, numbers as {@link Double}
+     * @param settingValues the deployment's settings by their names in {@code RouterSettings};
+     *     durations as {@link Duration}, numbers as {@link Double}
      * @param seed seed of the random numbers used for jitter and for spreading reads
      * @param log receives one line for each change of a primary's or a member's state
      */
-    public TxnRouter(Map<String, Object> settings, long seed, Consumer<String> log) {
-        this.settings = settings;
+    public TxnRouter(Map<String, Object> settingValues, long seed, Consumer<String> log) {
+        this.settings = new Settings(settingValues);
         this.random = new Random(seed);
         this.log = log;
-        this.granularity = durationSetting("step");
-        this.warmUpPeriod = durationSetting("cold");
+        this.granularity = settings.duration("step");
+        this.warmUpPeriod = settings.duration("cold");
         this.membersCheckFreshness =
-                !settings.getOrDefault("members-check", "silent").equals("silent");
-        this.mustRequestMemberList = "ask".equals(settings.get("member-list"));
-        this.txnTypes = TxnType.fromSettings(settings);
+                !settingValues.getOrDefault("members-check", "silent").equals("silent");
+        this.mustRequestMemberList = settings.is("member-list", "ask");
+        this.txnTypes = TxnType.fromSettings(settingValues);
         this.longestTimeLimits = new Duration[txnTypes.length];
         Arrays.fill(longestTimeLimits, Duration.ZERO);
         // Only updates count, since roles are tracked for the member that takes them. One txn type
@@ -277,8 +237,17 @@
         }
         this.timeScale = longestUpdateSlaTime;
         this.shortestAgeLimit = shortest == null ? longestUpdateSlaTime : shortest;
-        this.responseTimes = newResponseTimes();
         Duration countHalfLife = longestUpdateSlaTime.multipliedBy(HALF_LIFE_TIME_SCALES);
+        this.responseTimes = new ResponseTimeStatistics(txnTypes, countHalfLife);
+        this.limits =
+                new MemberLimits(
+                        this.settings,
+                        random,
+                        txnTypes[0],
+                        responseTimes,
+                        timeScale,
+                        countHalfLife,
+                        members.values());
         this.firstSubmissionCount = new DecayingSum(countHalfLife);
         this.furtherSubmissionCount = new DecayingSum(countHalfLife);
         this.endedCount = new DecayingSum(countHalfLife);
@@ -310,20 +279,12 @@
         if (member.group == null) {
             member.group = groups.computeIfAbsent(groupId, i -> new Group(i, MIN_SPILL_SHARE));
             member.group.members.add(member);
-            member.concurrencyLimit = INITIAL_CONCURRENCY_LIMIT;
+            member.concurrencyLimit = MemberLimits.INITIAL_CONCURRENCY_LIMIT;
         }
         member.zone = zone;
         member.hostClass = hostClass;
-        loadByHostClass.computeIfAbsent(
-                hostClass, k -> new HostClassLoad(timeScale.multipliedBy(HALF_LIFE_TIME_SCALES)));
         member.drainSeen |= draining;
-        if (startedAt != null
-                && (member.startedAt == null || startedAt.compareTo(member.startedAt) > 0)) {
-            member.startedAt = startedAt;
-            member.creditUpdatedAt = null;
-            member.concurrencyLimit =
-                    Math.max(1, INITIAL_CONCURRENCY_LIMIT * capacityShare(member, now));
-        }
+        limits.memberListed(member, startedAt, now);
         member.stopLearnedAt =
                 !draining && !gone
                         ? null
@@ -334,7 +295,7 @@
         if (primary
                 && !gone
                 && member.group.primary == null
-                && "late".equals(settings.get("role-in-list"))) {
+                && settings.is("role-in-list", "late")) {
             member.group.primary = member;
         }
         markDirty(member.group);
@@ -370,7 +331,7 @@
             scheduleMemberListRequest(
                     nextMemberListRequestAt == null
                             ? now
-                            : now.plus(durationSetting("ask-within").dividedBy(2)));
+                            : now.plus(settings.duration("ask-within").dividedBy(2)));
         }
     }
 
@@ -385,7 +346,7 @@
         // Exponential backoff with jitter, from 1/32 up to 1/4 of the longest request interval.
         Duration delay =
                 scale(
-                        durationSetting("ask-within"),
+                        settings.duration("ask-within"),
                         Math.pow(2, Math.min(memberListFailureCount, 4) - 6));
         scheduleMemberListRequest(now.plus(scale(delay, 0.5 + random.nextDouble())));
     }
@@ -417,16 +378,15 @@
         Duration timeLimit = timeLeft.plus(queuedTime);
         longestTimeLimits[typeIndex] = max(longestTimeLimits[typeIndex], timeLimit);
         if (timeLimit.plus(granularity).compareTo(longestTimeLimits[typeIndex]) < 0
-                && (retry || !flagSetting("clients-mark-retries"))) {
+                && (retry || !settings.flag("clients-mark-retries"))) {
             txn.slaDeadline =
                     txn.slaDeadline.minus(max(Duration.ZERO, txn.type.expiry().minus(timeLimit)));
         }
         if (txn.type.freshness() == Freshness.OWN_WRITES) {
             txn.requiredPosition =
-                    "client".equals(settings.get("session-marks"))
+                    settings.is("session-marks", "client")
                             ? sinceLastWrite == null ? null : now.minus(sinceLastWrite)
-                            : lastWriteBySession.getOrDefault(
-                                    session, lastWriteOfForgottenSessions);
+                            : sessionWrites.lastWrite(session);
         }
         openTxns.put(txnId, txn);
         hold(txn, now);
@@ -461,20 +421,17 @@
         // must not be treated as a member that is down.
         boolean connectionRefused =
                 outcome == Outcome.UNREACHABLE
-                        && duration.compareTo(durationSetting("connect-time-out").dividedBy(2)) < 0;
+                        && duration.compareTo(settings.duration("connect-time-out").dividedBy(2))
+                                < 0;
         endedCount.add(now, 1);
         if (outcome == Outcome.COMMITTED) {
             committedCount.add(now, 1);
             recordResponseTime(member, submission.txn, duration, now);
-            if (capacityShare(member, now) >= 1
-                    && duration.compareTo(submission.txn.type.slaTime()) <= 0) {
-                member.creditMs +=
-                        CREDIT_PER_TIMELY_ANSWER * baselineResponseMs(submission.txn.type);
-            }
+            limits.workCommitted(member, submission.txn.type, duration, now);
             if (submission.txn.type.isUpdate()
                     && submission.txn.session >= 0
-                    && "router".equals(settings.get("session-marks"))) {
-                recordSessionWrite(submission.txn.session, position, now);
+                    && settings.is("session-marks", "router")) {
+                sessionWrites.record(submission.txn.session, position, now);
             }
         }
         if (outcome == Outcome.TIMED_OUT) {
@@ -523,30 +480,6 @@
         }
     }
 
-    /**
-     * Records a committed write, which later reads of its session must see.
-     *
-     * @param position the write's commit time; null if its answer did not tell, as where the
-     *     connection was lost behind the row: the answer's arrival, which is later, counts then
-     */
-    private void recordSessionWrite(long session, Duration position, Duration now) {
-        lastWriteBySession.merge(session, position == null ? now : position, Durations::max);
-        forgetOldSessionWrites(now);
-    }
-
-    private void forgetOldSessionWrites(Duration now) {
-        Iterator<Duration> iterator = lastWriteBySession.values().iterator();
-        for (Duration writtenAt = iterator.next();
-                now.minus(writtenAt).compareTo(SESSION_WRITE_RETENTION) > 0 && iterator.hasNext();
-                writtenAt = iterator.next()) {
-            lastWriteOfForgottenSessions =
-                    lastWriteOfForgottenSessions == null
-                            ? writtenAt
-                            : max(lastWriteOfForgottenSessions, writtenAt);
-            iterator.remove();
-        }
-    }
-
     @Override
     public boolean knowsMember(long memberId) {
         return members.containsKey(memberId);
@@ -658,7 +591,8 @@
                     group.nextPassAt = null;
                     markDirty(group);
                 } else if (event.target == nextMemberListRequestAt) {
-                    scheduleMemberListRequest(now.plus(durationSetting("ask-within").dividedBy(4)));
+                    scheduleMemberListRequest(
+                            now.plus(settings.duration("ask-within").dividedBy(4)));
                     return Decision.followList();
                 }
             } else if (!dirtyGroups.isEmpty()) {
@@ -832,7 +766,9 @@
             // so that a long search does not load the members.
             group.searchRounds++;
             Duration longestInterval =
-                    max(SEARCH_PROBE_INTERVAL, durationSetting("connect-time-out").multipliedBy(2));
+                    max(
+                            SEARCH_PROBE_INTERVAL,
+                            settings.duration("connect-time-out").multipliedBy(2));
             group.nextSearchProbeAt =
                     now.plus(
                             min(
@@ -854,7 +790,7 @@
     private void monitorPrimary(Group group, Member primary, Duration now) {
         boolean fast = now.compareTo(group.fastProbeUntil) < 0 && !primary.outstanding.isEmpty();
         // All drivers together send a primary at most 10 probes a second, and 100 after a change.
-        Duration fleetInterval = scale(FAST_PROBE_INTERVAL, numberSetting("drivers"));
+        Duration fleetInterval = scale(FAST_PROBE_INTERVAL, settings.number("drivers"));
         Duration interval =
                 fast
                         ? max(FAST_PROBE_INTERVAL, fleetInterval.dividedBy(FAST_PROBE_RATE_FACTOR))
@@ -871,7 +807,7 @@
 
     /** Sends a probe unless one is in flight or not allowed; returns whether it was sent. */
     private boolean probe(Member member, Duration now) {
-        if (member.probeInFlight || !flagSetting("may-probe") || mustStop(member, now, true)) {
+        if (member.probeInFlight || !settings.flag("may-probe") || mustStop(member, now, true)) {
             return false;
         }
         member.probeInFlight = true;
@@ -912,11 +848,11 @@
                     probe(primary, now);
                     continue;
                 }
-                if (primary.outstanding.size() >= submissionLimit(primary, now)
+                if (primary.outstanding.size() >= limits.submissionLimit(primary, now)
                         || now.compareTo(primary.backoffUntil) < 0) {
                     // Only a newer report ends an overload: without a probe, writes would be held
                     // for one that is over.
-                    if (isOverloaded(primary, now)
+                    if (limits.isOverloaded(primary, now)
                             && now.minus(primary.queueReportedAt).compareTo(timeScale.dividedBy(2))
                                     > 0) {
                         probe(primary, now);
@@ -973,7 +909,7 @@
 
     /** Whether less time is left to the SLA deadline than a member takes that is not overloaded. */
     private boolean isTooLateForSla(Txn txn, Duration now) {
-        return toMillis(txn.slaDeadline.minus(now)) < baselineResponseMs(txn.type);
+        return toMillis(txn.slaDeadline.minus(now)) < responseTimes.baselineMs(txn.type);
     }
 
     /**
@@ -987,7 +923,7 @@
         // One stuck connection may have started the search. One repeatable read is sent to the
         // unresponsive primary to find out, provided that such reads of all drivers together do not
         // overload it.
-        if (minimumFleetLoad() < 1
+        if (limits.minimumFleetLoad() < 1
                 && group.searching
                 && primary != null
                 && primary.unresponsive
@@ -1022,7 +958,8 @@
             if (!isFresh && membersCheckFreshness && member.lag != null) {
                 isFresh = now.minus(member.lag).compareTo(requiredPosition) >= 0;
             }
-            boolean hasRoom = member.outstanding.size() < limitShare * submissionLimit(member, now);
+            boolean hasRoom =
+                    member.outstanding.size() < limitShare * limits.submissionLimit(member, now);
             if (!isFresh) {
                 if (hasRoom
                         && !isOutstandingOrMissedAt(txn, member)
@@ -1045,8 +982,8 @@
         // An overload could last forever if many drivers kept a member with a low limit busy with
         // late work: it is probed for its queue length first.
         if (best != null
-                && minimumFleetLoad() > 1
-                && best.concurrencyLimit < INITIAL_CONCURRENCY_LIMIT / 2
+                && limits.minimumFleetLoad() > 1
+                && best.concurrencyLimit < MemberLimits.INITIAL_CONCURRENCY_LIMIT / 2
                 && best.queueReportedAt != null
                 && now.minus(best.queueReportedAt).compareTo(timeScale) > 0
                 && probe(best, now)) {
@@ -1074,7 +1011,7 @@
             return null;
         }
         // Reads leave a part of the primary's limit to the writes.
-        double readLimit = limitShare * submissionLimit(primary, now);
+        double readLimit = limitShare * limits.submissionLimit(primary, now);
         if (replicaCount == 0) {
             return primary.outstanding.size() < readLimit ? primary : null;
         }
@@ -1101,7 +1038,7 @@
         return member.lag != null
                 && member.positionReportedAt.plus(timeScale.dividedBy(2)).compareTo(now) > 0
                 && now.minus(member.lag)
-                                .plus(durationSetting("members-hold-for"))
+                                .plus(settings.duration("members-hold-for"))
                                 .compareTo(requiredPosition)
                         < 0;
     }
@@ -1171,10 +1108,11 @@
                 Math.min(
                         MAX_COST_SLOWNESS, Math.max(MIN_COST_SLOWNESS, slownessRatio(member, now)));
         double zonePenalty =
-                member.zone != (int) numberSetting("zone") && numberSetting("price.cross-zone") > 0
+                member.zone != (int) settings.number("zone")
+                                && settings.number("price.cross-zone") > 0
                         ? CROSS_ZONE_COST
                         : 0;
-        return (member.outstanding.size() + 0.5) / submissionLimit(member, now) * slowness
+        return (member.outstanding.size() + 0.5) / limits.submissionLimit(member, now) * slowness
                 + zonePenalty
                 + random.nextDouble() * COST_JITTER;
     }
@@ -1186,14 +1124,12 @@
         txn.submissions.add(submission);
         member.lastProgressAt = member.outstanding.isEmpty() ? now : member.lastProgressAt;
         member.outstanding.add(submission);
-        loadByHostClass
-                .get(member.hostClass)
-                .submittedWorkMs
-                .add(now, baselineResponseMs(txn.type));
-        member.creditMs = Math.max(0, member.creditMs - baselineResponseMs(txn.type));
+        limits.workSubmitted(member, txn.type, now);
         readyDecisions.add(Decision.submit(txn.id, member.id, submission.number, null));
         scheduleEvent(
-                min(answerDeadline(txn), now.plus(ofMillis(2 * meanResponseMs(txn.type, now)))),
+                min(
+                        answerDeadline(txn),
+                        now.plus(ofMillis(2 * responseTimes.meanMs(txn.type, now)))),
                 txn);
     }
 
@@ -1214,7 +1150,7 @@
         if (txn.answered) {
             return;
         }
-        boolean noSubmissionLeft = txn.submissions.size() >= numberSetting("most-submissions");
+        boolean noSubmissionLeft = txn.submissions.size() >= settings.number("most-submissions");
         if (now.compareTo(answerDeadline(txn)) >= 0
                 || txn.held
                         && (noSubmissionLeft
@@ -1233,7 +1169,8 @@
             }
         }
         scheduleEvent(
-                min(answerDeadline(txn), now.plus(ofMillis(meanResponseMs(txn.type, now)))), txn);
+                min(answerDeadline(txn), now.plus(ofMillis(responseTimes.meanMs(txn.type, now)))),
+                txn);
     }
 
     /** Retries a repeatable txn that has a submission outstanding at an unresponsive member. */
@@ -1252,11 +1189,11 @@
                 || submission.cancelRequested
                 || isTooLateForSla(txn, now)
                 || txn.held
-                || txn.submissions.size() >= numberSetting("most-submissions")
+                || txn.submissions.size() >= settings.number("most-submissions")
                 || !hasRetryBudget(now)) {
             return;
         }
-        if (!flagSetting("second-copies")) {
+        if (!settings.flag("second-copies")) {
             cancel(submission);
         } else if (txn.outstandingCount() < 2) {
             txn.held = true;
@@ -1268,7 +1205,7 @@
     private void cancel(Submission submission) {
         if (submission.isOutstanding()
                 && !submission.cancelRequested
-                && flagSetting("may-cancel")) {
+                && settings.flag("may-cancel")) {
             submission.cancelRequested = true;
             readyDecisions.add(Decision.cancel(submission.txn.id, submission.number));
         }
@@ -1282,13 +1219,14 @@
                         || txn.type.repeatability() == Repeatability.REFERENCED
                                 && txn.type.everyMemberDropsRepeats();
         // A client that can still meet the SLA time may retry at once; others are advised to wait.
-        boolean adviseRetryDelay = flagSetting("may-advise-come-back") && isTooLateForSla(txn, now);
+        boolean adviseRetryDelay =
+                settings.flag("may-advise-come-back") && isTooLateForSla(txn, now);
         readyDecisions.add(
                 !retryIsHarmless
                         ? Decision.rollBack(txn.id)
                         : Decision.decline(
                                 txn.id,
-                                adviseRetryDelay ? durationSetting("longest-come-back") : null));
+                                adviseRetryDelay ? settings.duration("longest-come-back") : null));
         close(txn);
     }
 
@@ -1301,7 +1239,10 @@
     /** Time at which a held txn is given up, since an answer would come too late to be useful. */
     private Duration giveUpAt(Txn txn, Duration now) {
         Duration expectedTime =
-                ofMillis(Math.max(baselineResponseMs(txn.type), meanResponseMs(txn.type, now)));
+                ofMillis(
+                        Math.max(
+                                responseTimes.baselineMs(txn.type),
+                                responseTimes.meanMs(txn.type, now)));
         Duration latestUsefulStart =
                 (txn.type.lateShare() > 0 ? txn.expiresAt : min(txn.slaDeadline, txn.expiresAt))
                         .minus(expectedTime);
@@ -1336,8 +1277,8 @@
     private boolean maySubmitAgain(Txn txn, Duration now) {
         return txn.submissions.isEmpty()
                 || mayRunAgain(txn, now)
-                        && (txn.outstandingCount() == 0 || flagSetting("second-copies"))
-                        && txn.submissions.size() < numberSetting("most-submissions")
+                        && (txn.outstandingCount() == 0 || settings.flag("second-copies"))
+                        && txn.submissions.size() < settings.number("most-submissions")
                         && hasRetryBudget(now);
     }
 
@@ -1355,21 +1296,10 @@
 
     /** Updates the statistics, the member's concurrency limit and the group's spill share. */
     private void recordResponseTime(Member member, Txn txn, Duration responseTime, Duration now) {
-        for (ResponseTimes times :
-                new ResponseTimes[] {
-                    responseTimes[txn.type.index()], responseTimesOf(member)[txn.type.index()]
-                }) {
-            times.add(now, toMillis(responseTime));
-            // The baseline follows the mean down at once and up only slowly, so that it stays the
-            // response time without queueing. A mean of few answers does not change it.
-            times.baselineMs =
-                    times.sampleCount.valueAt(now) < MIN_BASELINE_SAMPLE_COUNT
-                            ? times.baselineMs
-                            : Math.min(
-                                    times.baselineMs * BASELINE_RISE_PER_ANSWER, times.meanMs(now));
-        }
+        responseTimes.record(member, txn.type, responseTime, now);
         member.answerCount.add(now, 1);
-        member.slownessSum.add(now, toMillis(responseTime) / targetResponseMs(member, txn.type));
+        member.slownessSum.add(
+                now, toMillis(responseTime) / responseTimes.targetMs(member, txn.type));
         // Overloaded replicas fall behind. A lag well within the age limit lowers the concurrency
         // limit while it grows and else keeps it from rising. If answers are quick, the lag has
         // another cause.
@@ -1397,43 +1327,11 @@
         }
     }
 
-    /**
-     * Response time of a member that is well used but not overloaded: the geometric mean of its
-     * baseline and the SLA time.
-     */
-    private double targetResponseMs(Member member, TxnType type) {
-        double baselineMs = responseTimesOf(member)[type.index()].baselineMs;
-        return Math.sqrt(baselineMs * toMillis(type.slaTime()));
-    }
-
-    private ResponseTimes[] responseTimesOf(Member member) {
-        return responseTimesByHostClass.computeIfAbsent(member.hostClass, k -> newResponseTimes());
-    }
-
-    private ResponseTimes[] newResponseTimes() {
-        ResponseTimes[] times = new ResponseTimes[txnTypes.length];
-        for (int i = 0; i < times.length; i++) {
-            times[i] =
-                    new ResponseTimes(
-                            timeScale.multipliedBy(HALF_LIFE_TIME_SCALES),
-                            toMillis(txnTypes[i].slaTime()) / 4);
-        }
-        return times;
-    }
-
     /** Mean ratio of recent response times to their targets; above 1 the member is too slow. */
     private double slownessRatio(Member member, Duration now) {
         return (member.slownessSum.valueAt(now) + 0.5) / (member.answerCount.valueAt(now) + 1);
     }
 
-    private double meanResponseMs(TxnType type, Duration now) {
-        return responseTimes[type.index()].meanMs(now);
-    }
-
-    private double baselineResponseMs(TxnType type) {
-        return responseTimes[type.index()].baselineMs;
-    }
-
     /**
      * Whether the member is unresponsive: its outstanding submissions together have waited several
      * mean response times since its last answer.
@@ -1446,7 +1344,7 @@
         for (Submission submission : member.outstanding) {
             // A submission that much later answers have overtaken is stuck alone and says nothing
             // about the member.
-            double meanMs = meanResponseMs(submission.txn.type, now);
+            double meanMs = responseTimes.meanMs(submission.txn.type, now);
             waitedMeanTimes +=
                     toMillis(member.lastProgressAt.minus(submission.sentAt))
                                     > UNRESPONSIVE_AFTER_MEAN_TIMES * meanMs
@@ -1459,7 +1357,7 @@
         Txn firstTxn = member.outstanding.iterator().next().txn;
         if (waitedMeanTimes > UNRESPONSIVE_AFTER_MEAN_TIMES
                 && toMillis(now.minus(member.lastProgressAt))
-                        > meanResponseMs(firstTxn.type, now)) {
+                        > responseTimes.meanMs(firstTxn.type, now)) {
             member.unresponsive = true;
             log.accept(
                     "member "
@@ -1487,7 +1385,9 @@
         if (outcome == Outcome.FULL) {
             member.concurrencyLimit = Math.max(1, member.concurrencyLimit / 2);
             member.backoffUntil =
-                    max(member.backoffUntil, now.plus(ofMillis(baselineResponseMs(txnTypes[0]))));
+                    max(
+                            member.backoffUntil,
+                            now.plus(ofMillis(responseTimes.baselineMs(txnTypes[0]))));
         } else {
             member.consecutiveFailures = 0;
             // A member that was unreachable for a while may have restarted before the list says so:
@@ -1514,7 +1414,7 @@
                         : member.unreachableSince;
         Duration backoff =
                 ofMillis(
-                        baselineResponseMs(txnTypes[0])
+                        responseTimes.baselineMs(txnTypes[0])
                                 / 4
                                 * Math.pow(
                                         2,
@@ -1546,7 +1446,7 @@
                 scale(
                         max(
                                 Duration.ofMillis(MIN_FAILURE_BACKOFF_MS),
-                                durationSetting("connect-time-out")),
+                                settings.duration("connect-time-out")),
                         Math.pow(
                                 2,
                                 Math.min(
@@ -1559,122 +1459,6 @@
                                 BACKOFF_JITTER_MIN + BACKOFF_JITTER_RANGE * random.nextDouble()));
     }
 
-    /** How many submissions this driver may have outstanding at the member. */
-    private double submissionLimit(Member member, Duration now) {
-        double highestMinimum =
-                member == member.group.primary && !member.group.searching
-                        ? 2
-                        : INITIAL_CONCURRENCY_LIMIT / 2;
-        double minimumLimit = Math.min(highestMinimum, 1 + minimumFleetLoad());
-        if (isOverloaded(member, now) && minimumFleetLoad() > 1) {
-            return 0;
-        }
-        if ((member.concurrencyLimit < minimumLimit
-                        || capacityShare(member, now) < 1
-                        || isOverloaded(member, now))
-                && refillCredit(member, now) < baselineResponseMs(txnTypes[0])) {
-            return 0;
-        }
-        return member.consecutiveFailures > 1
-                        || member.consecutiveFailures > 0 && now.compareTo(member.backoffUntil) < 0
-                ? 1
-                : member.concurrencyLimit;
-    }
-
-    /**
-     * Whether the member's last report, if recent, shows a longer queue than it can answer in time.
-     * A report of a short queue proves nothing, so false does not mean that it has capacity left.
-     */
-    private boolean isOverloaded(Member member, Duration now) {
-        return member.queueReportedAt != null
-                && member.queueLength * baselineResponseMs(txnTypes[0]) > toMillis(timeScale) / 2
-                && now.minus(member.queueReportedAt)
-                                .compareTo(
-                                        scale(
-                                                timeScale,
-                                                Math.max(
-                                                        MIN_QUEUE_REPORT_VALIDITY_TIME_SCALES,
-                                                        minimumFleetLoad())))
-                        < 0;
-    }
-
-    /**
-     * Time that a member needs for one submission of each driver, in multiples of {@link
-     * #timeScale}. Above 1, even concurrency limits of 1 at all drivers overload the member.
-     */
-    private double minimumFleetLoad() {
-        return numberSetting("drivers") * baselineResponseMs(txnTypes[0]) / toMillis(timeScale);
-    }
-
-    /**
-     * Refills the member's credit, a token bucket of work in baseline response milliseconds, and
-     * returns it. Rates are limited instead of outstanding work because rates of many drivers add
-     * up. A member in its warm-up gets the rate of a warm one, times its present capacity share and
-     * 0.6 of the setting {@code fall-multiple}. A replica with a low limit gets what it answers in
-     * time.
-     */
-    private double refillCredit(Member member, Duration now) {
-        double baselineMs = baselineResponseMs(txnTypes[0]);
-        double capacityShare = capacityShare(member, now);
-        double creditPerMs =
-                Math.min(
-                        baselineMs / toMillis(timeScale.multipliedBy(CREDIT_INTERVAL_TIME_SCALES)),
-                        MAX_FLEET_CREDIT_RATE / numberSetting("drivers"));
-        double maxCreditMs = 2 * baselineMs;
-        if (capacityShare < 1) {
-            HostClassLoad load = loadByHostClass.get(member.hostClass);
-            if (load.countedAt == null
-                    || now.minus(load.countedAt).compareTo(durationSetting("fall")) > 0) {
-                load.countedAt = now;
-                // Members in their warm-up count fully. Counted by their capacity share, many that
-                // start at once would each get the rate meant for a few.
-                load.memberCount =
-                        members.values().stream()
-                                .filter(
-                                        other ->
-                                                other.listed && other.hostClass == member.hostClass)
-                                .count();
-            }
-            creditPerMs =
-                    Math.max(
-                            baselineMs / toMillis(warmUpPeriod),
-                            capacityShare
-                                    * numberSetting("fall-multiple")
-                                    * WARM_UP_CREDIT_FACTOR
-                                    * load.submittedWorkMs.valueAt(now)
-                                    * Math.log(2)
-                                    / toMillis(load.halfLife)
-                                    / Math.max(1, load.memberCount));
-            maxCreditMs = baselineMs + creditPerMs * toMillis(durationSetting("fall")) / 4;
-        }
-        if (member.creditUpdatedAt == null) {
-            member.creditMs =
-                    capacityShare < 1 || minimumFleetLoad() > 1
-                            ? random.nextDouble() * baselineMs
-                            : maxCreditMs;
-        } else {
-            member.creditMs =
-                    Math.min(
-                            maxCreditMs,
-                            member.creditMs
-                                    + creditPerMs * toMillis(now.minus(member.creditUpdatedAt)));
-        }
-        member.creditUpdatedAt = now;
-        return member.creditMs;
-    }
-
-    /** Share of its full capacity that the member has reached in its warm-up, up to 1. */
-    private double capacityShare(Member member, Duration now) {
-        if (member.startedAt == null || warmUpPeriod.isZero()) {
-            return 1;
-        }
-        double warmUpProgress = toMillis(now.minus(member.startedAt)) / toMillis(warmUpPeriod);
-        return warmUpProgress >= 1
-                ? 1
-                : numberSetting("cold-share")
-                        + (1 - numberSetting("cold-share")) * Math.max(0, warmUpProgress);
-    }
-
     /**
      * Whether nothing new may be sent to the member because it is draining or gone.
      *
@@ -1685,12 +1469,12 @@
         // Where a removal from the list is not binding, only failed submissions stop the use of a
         // member.
         if (member.stopLearnedAt == null
-                || member.gone && !member.drainSeen && flagSetting("removal-not-binding")) {
+                || member.gone && !member.drainSeen && settings.flag("removal-not-binding")) {
             return false;
         }
         Duration grace =
                 asPrimary && !member.gone
-                        ? durationSetting("drain-grace").minus(granularity.multipliedBy(2))
+                        ? settings.duration("drain-grace").minus(granularity.multipliedBy(2))
                         : Duration.ZERO;
         return now.compareTo(member.stopLearnedAt.plus(grace)) >= 0;
     }
@@ -1733,16 +1517,4 @@
     private void scheduleEvent(Duration dueAt, Object target) {
         scheduledEvents.add(new ScheduledEvent(dueAt, nextEventSequence++, target));
     }
-
-    private double numberSetting(String name) {
-        return settings.get(name) instanceof Double d ? d : 0;
-    }
-
-    private Duration durationSetting(String name) {
-        return settings.get(name) instanceof Duration d ? d : Duration.ZERO;
-    }
-
-    private boolean flagSetting(String name) {
-        return Boolean.TRUE.equals(settings.get(name));
-    }
 }
