Clients: the idle timeout does not end a connection in the middle of a command

Cause: ClientConnection.checkTimeouts took a command of which a part had come for rest. Ruled out: the limits on idle connections and the planned stop, which ask inCommand.

Change: while a part of a command waits for the rest, only the command's own limit ends the connection.

Red before: ClientFrontendTest.commandThatBeginsBeforeTheIdleTimeoutIsReadToItsEnd (the connection ended with no byte).

--- a/src/main/java/wingroad/driver/ClientConnection.java
+++ b/src/main/java/wingroad/driver/ClientConnection.java
@@ -395,7 +395,9 @@
                 && hasElapsed(partialCommandSince, COMMAND_TIMEOUT, now)) {
             frontend.count("client command timed out");
             sendFatalError(ClientMessageEncoder.PROTOCOL_VIOLATION, "no whole command in time");
-        } else if (hasElapsed(lastProgressAt, IDLE_TIMEOUT, now) && !frontend.mayStayIdle()) {
+        } else if (partialCommandSince == null
+                && hasElapsed(lastProgressAt, IDLE_TIMEOUT, now)
+                && !frontend.mayStayIdle()) {
             finish();
         }
     }
--- a/src/test/java/wingroad/driver/ClientFrontendTest.java
+++ b/src/test/java/wingroad/driver/ClientFrontendTest.java
@@ -272,6 +272,27 @@
         awaitOnLoop(() -> frontend.connectionCount() == 0);
     }
 
+    /**
+     * Guards against an idle timeout in the middle of a command: the client has rested for almost
+     * the idle timeout and then writes slowly.
+     */
+    @Test
+    void commandThatBeginsBeforeTheIdleTimeoutIsReadToItsEnd() throws Exception {
+        reportPrimary();
+        Peer client = connectClient();
+        client.send(query(""));
+        client.readUntil(READY_FOR_QUERY);
+        byte[] statement = query(writeStatement("slow"));
+        Thread.sleep(1900);
+        client.send(Arrays.copyOf(statement, 60));
+        // Past the idle timeout of 2.2 s, within the 1.5 s that a command may take.
+        Thread.sleep(900);
+        client.send(Arrays.copyOfRange(statement, 60, statement.length));
+        commit(dispatched.poll(WAIT_TIMEOUT_SECONDS, TimeUnit.SECONDS));
+        assertThat(client.readUntil(READY_FOR_QUERY)).contains("done");
+        client.close();
+    }
+
     /**
      * A txn is open when closing begins, with pipelined statements behind it: all of them are
      * answered in order before the connection is closed.
