Clients: one that leaves behind more than is read ahead is found out by notices

Cause: the end stands behind what it has sent, and Connection.read reads nothing while the buffer is full. Ruled out as mends: a larger buffer (moves the bound), refusing what is beyond it (clients may pipeline).

Change: while a txn is open and its client's input is full, the client gets a NoticeResponse each 25 ms. A system whose client has gone resets the connection at the first, and the second fails.

--- a/src/main/java/wingroad/driver/ClientConnection.java
+++ b/src/main/java/wingroad/driver/ClientConnection.java
@@ -57,6 +57,13 @@
      */
     private static final Duration FIRST_REJECTION_DELAY = Duration.ofMillis(10);
 
+    /**
+     * Interval of notices to a client whose end could not be read. The first one after its end
+     * makes its system reset the connection, and the next one finds that out, well within the 100
+     * ms after which nothing may be sent for a client that has gone.
+     */
+    private static final Duration PRESENCE_CHECK_INTERVAL = Duration.ofMillis(25);
+
     /** With this many rejected commands the connection is closed. */
     private static final int MAX_REJECTED_COMMAND_COUNT = 8;
 
@@ -106,6 +113,9 @@
 
     private int discardedBytes;
 
+    /** The client's presence will be checked. */
+    private boolean presenceCheckScheduled;
+
     /** How many bytes had been written at the last timeout check. */
     private long writtenBytesAtLastCheck;
 
@@ -145,6 +155,29 @@
         return finishing || txn == null && !delayed && !connection.hasUnsentBytes();
     }
 
+    @Override
+    public void onInputFull() {
+        if (txn != null && !presenceCheckScheduled) {
+            presenceCheckScheduled = true;
+            frontend.after(PRESENCE_CHECK_INTERVAL, this::checkPresence);
+        }
+    }
+
+    /**
+     * Sends a notice to a client that has sent more ahead than is read, so that its end behind that
+     * can't be read: writing to a client that has gone fails.
+     */
+    private void checkPresence() {
+        presenceCheckScheduled = false;
+        if (txn == null || !connection.isInputFull()) {
+            return;
+        }
+        if (!connection.hasUnsentBytes()) {
+            connection.send(new ClientMessageEncoder().notice("in progress").toByteBuffer());
+        }
+        onInputFull();
+    }
+
     @Override
     public void onBytes(ByteBuffer in) {
         if (finishing) {
--- a/src/main/java/wingroad/protocol/ClientMessageEncoder.java
+++ b/src/main/java/wingroad/protocol/ClientMessageEncoder.java
@@ -16,6 +16,8 @@
     public static final String FEATURE_NOT_SUPPORTED = "0A000";
     public static final String UNDEFINED_OBJECT = "42704";
 
+    private static final String SUCCESSFUL_COMPLETION = "00000";
+
     private static final byte[] READY_FOR_QUERY = {'Z', 0, 0, 0, 5, 'I'};
     private static final byte[] EMPTY_QUERY_RESPONSE = {'I', 0, 0, 0, 4};
 
@@ -87,7 +89,19 @@
      */
     public ClientMessageEncoder errorResponse(
             boolean fatal, String sqlState, String text, String detail) {
-        String severity = fatal ? "FATAL" : "ERROR";
+        String detailField = detail == null ? "" : "D" + detail + '\0';
+        writeMessage('E', fields(fatal ? "FATAL" : "ERROR", sqlState, text, detailField));
+        return this;
+    }
+
+    /** Appends a notice, which may stand between any two messages and which clients ignore. */
+    public ClientMessageEncoder notice(String text) {
+        writeMessage('N', fields("NOTICE", SUCCESSFUL_COMPLETION, text, ""));
+        return this;
+    }
+
+    private static byte[] fields(
+            String severity, String sqlState, String text, String furtherFields) {
         String fields =
                 "S"
                         + severity
@@ -98,10 +112,9 @@
                         + "\0M"
                         + text
                         + '\0'
-                        + (detail == null ? "" : "D" + detail + '\0')
+                        + furtherFields
                         + '\0';
-        writeMessage('E', fields.getBytes(StandardCharsets.UTF_8));
-        return this;
+        return fields.getBytes(StandardCharsets.UTF_8);
     }
 
     private void writeMessage(char type, byte[] body) {
--- a/src/main/java/wingroad/transport/Connection.java
+++ b/src/main/java/wingroad/transport/Connection.java
@@ -49,6 +49,12 @@
         /** Called once all queued bytes have been written. */
         default void onAllWritten() {}
 
+        /**
+         * Called when the unread input fills the buffer, so that nothing more is read, the peer's
+         * end included, until the handler consumes some of it.
+         */
+        default void onInputFull() {}
+
         /** Called when there is no memory for more input; nothing more is read. */
         void onInputMemoryExhausted();
 
@@ -84,6 +90,10 @@
     private boolean connecting;
     private boolean outputShutdownRequested;
     private boolean readingStopped;
+
+    /** The unread input fills the buffer: nothing is read. */
+    private boolean inputFull;
+
     private boolean closed;
 
     /**
@@ -227,6 +237,8 @@
                     || unreadEnd >= READ_AHEAD_BYTES
                             && !handler.acceptsInput()
                             && !loop.canReadAhead(newSize - buffer.length)) {
+                inputFull = true;
+                runGuarded(handler::onInputFull);
                 return;
             }
             if (newSize > INITIAL_BUFFER_BYTES && !loop.canBuffer(newSize - buffer.length)) {
@@ -237,6 +249,7 @@
             buffer = Arrays.copyOf(buffer, newSize);
         }
         reading = true;
+        inputFull = false;
         inChannelCall = true;
         try {
             channel.read(
@@ -374,6 +387,11 @@
         return unreadStart != unreadEnd;
     }
 
+    /** Whether nothing is read since the unread input fills the buffer. */
+    public boolean isInputFull() {
+        return inputFull && !closed;
+    }
+
     public boolean isClosed() {
         return closed;
     }
--- a/src/test/java/wingroad/driver/ClientFrontendTest.java
+++ b/src/test/java/wingroad/driver/ClientFrontendTest.java
@@ -223,6 +223,55 @@
         assertThat(unexpectedFailures).isEmpty();
     }
 
+    /**
+     * Guards against a txn being sent to a member after its client has disconnected, where the
+     * disconnect stands behind more pipelined statements than are read ahead.
+     */
+    @Test
+    void disconnectBehindMoreThanIsReadAheadIsDetected() throws Exception {
+        String longValue = "5a".repeat(64 * 1024);
+        for (boolean resets : new boolean[] {false, true}) {
+            Peer client = connectClient();
+            for (int i = 0; i < 3; i++) {
+                String id = "long" + i + resets;
+                String statement = writeStatement(id).replace("d=4000", "d=60000");
+                client.send(query(statement.replace("9f03", longValue)));
+            }
+            awaitOnLoop(() -> dispatcher.openTxnCount() == 1);
+            if (resets) {
+                client.reset();
+            } else {
+                client.close();
+            }
+            awaitOnLoop(() -> dispatcher.openTxnCount() == 0);
+            awaitOnLoop(() -> frontend.connectionCount() == 0);
+        }
+        reportPrimary();
+        assertThat(dispatched).isEmpty();
+        assertThat(unexpectedFailures).isEmpty();
+    }
+
+    /** Guards against taking a client that only sends much ahead for one that has gone. */
+    @Test
+    void clientThatSendsMoreThanIsReadAheadGetsAllAnswers() throws Exception {
+        String longValue = "5a".repeat(64 * 1024);
+        Peer client = connectClient();
+        byte[][] statements = new byte[3][];
+        for (int i = 0; i < statements.length; i++) {
+            statements[i] = query(writeStatement("ahead" + i).replace("9f03", longValue));
+        }
+        client.send(statements);
+        awaitOnLoop(() -> dispatcher.openTxnCount() == 1);
+        assertThat(client.readUntil("Min progress\0\0")).startsWith("N");
+        reportPrimary();
+        for (int i = 0; i < statements.length; i++) {
+            commit(dispatched.poll(WAIT_TIMEOUT_SECONDS, TimeUnit.SECONDS));
+            assertThat(client.readUntil(READY_FOR_QUERY)).contains("done");
+        }
+        client.close();
+        awaitOnLoop(() -> frontend.connectionCount() == 0);
+    }
+
     /**
      * Pipelined statements are read only while less than half of the memory is in use: a client
      * that floods the driver must wait, and the rest is left to others.
