Discovery: a list that is older than one before ends no drain

Cause: DiscoveryClient takes any whole list, since a service that was set up anew counts from the start, and it was applied as news. Ruled out: the watch at the old address, changes with a lower version.

Change: StaleListFilter, before the router.

--- a/src/main/java/wingroad/driver/Driver.java
+++ b/src/main/java/wingroad/driver/Driver.java
@@ -104,6 +104,7 @@
     private final MemberPools memberPools;
     private final ClientFrontend clientFrontend;
     private final DiscoveryClient discoveryClient;
+    private final StaleListFilter staleListFilter = new StaleListFilter();
 
     /** {@link WarmUp} has ended. */
     private boolean warmedUp;
@@ -302,10 +303,7 @@
         // is fetched before any client is accepted.
         loop.execute(
                 () -> {
-                    applyList(
-                            maintenanceAgent == null
-                                    ? configuration.knownMembers()
-                                    : maintenanceAgent.effective(configuration.knownMembers()));
+                    applyList(currentList(configuration.knownMembers()));
                     if (pullMode) {
                         firstFetchDone = true;
                     } else {
@@ -432,7 +430,20 @@
     }
 
     private void listLearnt(MemberList list) {
-        applyAndLogList(maintenanceAgent == null ? list : maintenanceAgent.effective(list));
+        applyAndLogList(currentList(list));
+    }
+
+    /** What a received list means beside those before and the maintenance plan. */
+    private MemberList currentList(MemberList list) {
+        MemberList current = staleListFilter.filter(list, clock.now());
+        if (current != list) {
+            log.info(
+                    "list "
+                            + list.version()
+                            + " is older than one before: members known to drain or to be gone"
+                            + " stay so");
+        }
+        return maintenanceAgent == null ? current : maintenanceAgent.effective(current);
     }
 
     private void applyAndLogList(MemberList list) {
--- a/src/main/java/wingroad/protocol/MemberList.java
+++ b/src/main/java/wingroad/protocol/MemberList.java
@@ -35,12 +35,24 @@
             double weight,
             double startedAtMs,
             boolean primary) {
+        /** State of a member that finishes what it has and gets nothing new. */
+        public static final String DRAINING = "draining";
+
+        /** State of a member that is not in use any more. */
+        public static final String GONE = "gone";
+
         public boolean isDraining() {
-            return state.equals("draining");
+            return state.equals(DRAINING);
         }
 
         public boolean isGone() {
-            return state.equals("gone");
+            return state.equals(GONE);
+        }
+
+        /** The same entry in another state. */
+        public Entry withState(String newState) {
+            return new Entry(
+                    uid, host, port, zone, model, group, newState, weight, startedAtMs, primary);
         }
     }
 
--- a/src/test/java/wingroad/driver/DriverIT.java
+++ b/src/test/java/wingroad/driver/DriverIT.java
@@ -462,6 +462,46 @@
         }
     }
 
+    /**
+     * Guards against new txns at a member that is known to drain: a new configuration moves
+     * discovery to an address whose list is still behind.
+     */
+    @Test
+    void drainIsKeptIfDiscoveryMovesToAnOlderList() throws Exception {
+        TestClient client = startAndConnect();
+        discovery.publish(
+                42,
+                listEntry("s-1", primary.port(), "ready")
+                        + ","
+                        + listEntry("s-2", replica.port(), "draining"));
+        awaitLogLine("list 42");
+        try (FakeDiscovery olderDiscovery = new FakeDiscovery()) {
+            String olderList =
+                    "{\"rev\":41,\"all\":true,\"targets\":["
+                            + listEntry("s-1", primary.port(), "ready")
+                            + ","
+                            + listEntry("s-2", replica.port(), "ready")
+                            + "]}";
+            olderDiscovery.cannedResponses.add(
+                    "HTTP/1.1 200 OK\r\nContent-Length: "
+                            + olderList.length()
+                            + "\r\n\r\n"
+                            + olderList);
+            Files.writeString(
+                    tempDir.resolve("config.json"),
+                    Files.readString(tempDir.resolve("config.json"))
+                            .replace(
+                                    "\"discovery\":\"127.0.0.1:" + discovery.port(),
+                                    "\"discovery\":\"127.0.0.1:" + olderDiscovery.port()));
+            sendHangUp();
+            awaitLogLine("list 41 whole");
+            for (int i = 0; i < 3; i++) {
+                assertThat(client.query(readStatement("r" + i)).readResponses())
+                        .containsExactly("row from primary");
+            }
+        }
+    }
+
     @Test
     void memberIsUsedAtItsNewAddress() throws Exception {
         TestClient client = startAndConnect();
