Fleet: a driver that is told to stop hands over after its chore's statement has ended

Cause: FleetNode.leave left the session at once, without asking isBusy as a hand-over does. Ruled out: a lease that ran out, a statement sent late.

Change: the owner begins nothing more, keeps its session while a statement runs, and leaves then; a statement of unknown outcome counts as running until the end of the lease under which it began. A process that has to end before lets its lease run out. The exit waits for the fleet's confirmation, up to its own deadline.

Red before (with the wait taken out): FleetIT.plannedStopDuringAChoreHandsOverAfterItsEnd, 2 overlaps at the member; green with it, as plannedStopHandsChoreOver, SimFleetTest (which calls stopActing before leave now) and SimWorkTest are.

--- a/src/main/java/wingroad/driver/ChoreExecutor.java
+++ b/src/main/java/wingroad/driver/ChoreExecutor.java
@@ -106,7 +106,7 @@
         Duration timeLeft = leaseEnd.minus(Duration.ofNanos(System.nanoTime()));
         timeLeft = timeLeft.compareTo(longestExpiry) < 0 ? timeLeft : longestExpiry;
         if (timeLeft.compareTo(MIN_TIME_LEFT) < 0) {
-            report(callback, "not begun: the lease ends");
+            report(callback, "not begun: the lease ends", false);
             return;
         }
         String txn =
@@ -116,26 +116,26 @@
                         new TxnDispatcher.TxnCallback() {
                             @Override
                             public void committed(byte[] row) {
-                                report(callback, "ran");
+                                report(callback, "ran", false);
                             }
 
                             @Override
                             public void declined(Duration retryAfter) {
-                                report(callback, "declined, never ran");
+                                report(callback, "declined, never ran", false);
                             }
 
                             @Override
                             public void rolledBack() {
-                                report(callback, "refused or broken off: has run or not");
+                                report(callback, "refused or broken off: has run or not", true);
                             }
                         });
         if (txn == null) {
-            report(callback, "not taken, never ran");
+            report(callback, "not taken, never ran", false);
         }
     }
 
-    private void report(Completion callback, String outcome) {
-        fleetThread.accept(() -> callback.completed(outcome));
+    private void report(Completion callback, String outcome, boolean mayStillRun) {
+        fleetThread.accept(() -> callback.completed(outcome, mayStillRun));
     }
 
     static Statement statement(Chore chore, long epoch, long runNumber, Duration timeLeft) {
--- a/src/main/java/wingroad/driver/Driver.java
+++ b/src/main/java/wingroad/driver/Driver.java
@@ -124,6 +124,9 @@
     /** Null until the signal to stop. */
     private Duration exitDeadline;
 
+    /** The fleet has not confirmed yet that this driver has left. */
+    private boolean leavingFleet;
+
     /** All client connections have been finished. */
     private boolean clientsFinished;
 
@@ -591,17 +594,8 @@
                         dispatcher.setAnswerDeadline(exitDeadline.minus(MIN_CLIENT_CLOSE_TIME));
                         clientFrontend.keepIdleConnections();
                         if (fleetAgent != null) {
-                            fleetAgent.leave(
-                                    () ->
-                                            loop.execute(
-                                                    () ->
-                                                            log.info(
-                                                                    "fleet: left after "
-                                                                            + clock.now()
-                                                                                    .minus(
-                                                                                            stopRequestedAt)
-                                                                                    .toMillis()
-                                                                            + " ms")));
+                            leavingFleet = true;
+                            fleetAgent.leave(() -> loop.execute(this::leftFleet));
                         }
                         loop.schedule(
                                 serveTime.plus(ACCEPT_AFTER_STOP.dividedBy(2)),
@@ -617,6 +611,11 @@
         }
     }
 
+    private void leftFleet() {
+        leavingFleet = false;
+        log.info("fleet: left after " + clock.now().minus(stopRequestedAt).toMillis() + " ms");
+    }
+
     /** Checks repeatedly whether the shutdown has got to its next step. */
     private void exitWhenDone() {
         Duration now = clock.now();
@@ -635,7 +634,8 @@
         }
         if (clientsFinished
                 && dispatcher.openTxnCount() == 0
-                && (clientFrontend.connectionCount() == 0 || now.compareTo(exitDeadline) > 0)) {
+                && (clientFrontend.connectionCount() == 0 && !leavingFleet
+                        || now.compareTo(exitDeadline) > 0)) {
             log.info("stops after " + clock.now().minus(stopRequestedAt).toMillis() + " ms");
             if (fleetAgent != null) {
                 fleetAgent.close();
--- a/src/main/java/wingroad/fleet/ChoreRunner.java
+++ b/src/main/java/wingroad/fleet/ChoreRunner.java
@@ -19,7 +19,13 @@
 
     /** Called once when the statement has ended. */
     interface Completion {
-        /** Reports the outcome of the statement, in text. */
-        void completed(String outcome);
+        /**
+         * Reports the outcome of the statement.
+         *
+         * @param outcome the outcome in text
+         * @param mayStillRun whether the outcome is unknown, so that the statement may still be
+         *     running at the member or may yet begin, until its deadline
+         */
+        void completed(String outcome, boolean mayStillRun);
     }
 }
--- a/src/main/java/wingroad/fleet/ChoreScheduler.java
+++ b/src/main/java/wingroad/fleet/ChoreScheduler.java
@@ -41,6 +41,9 @@
         /** Whether a statement is running. */
         boolean running;
 
+        /** Until when a statement whose outcome is unknown may still run at the member. */
+        Duration mayRunUntil = Duration.ZERO;
+
         /** Whether a check is scheduled for when the next run is due. */
         boolean wakeUpScheduled;
 
@@ -69,7 +72,7 @@
     @Override
     public boolean isBusy(String duty) {
         ChoreState state = choreStates.get(duty);
-        return state != null && state.running;
+        return state != null && (state.running || context.now().compareTo(state.mayRunUntil) < 0);
     }
 
     @Override
@@ -140,13 +143,15 @@
         state.running = true;
         long run = state.requestedRun;
         String session = sessionLease.sessionId();
+        Duration deadline = sessionLease.expiresAt();
         choreRunner.run(
                 state.chore,
                 dutyState.epoch(),
                 run,
-                sessionLease.expiresAt(),
-                outcome -> {
+                deadline,
+                (outcome, mayStillRun) -> {
                     state.running = false;
+                    state.mayRunUntil = mayStillRun ? deadline : Duration.ZERO;
                     context.log(
                             "fleet: "
                                     + dutyState.duty()
--- a/src/main/java/wingroad/fleet/DriverSession.java
+++ b/src/main/java/wingroad/fleet/DriverSession.java
@@ -84,6 +84,7 @@
     private Duration reconnectAt = Duration.ZERO;
     private long lastRevision = -1;
     private boolean sessionOpen;
+    private boolean stoppedActing;
     private boolean leaving;
     private Runnable onLeft;
     private boolean stopped;
@@ -214,14 +215,28 @@
     }
 
     /**
-     * Stops acting on all duties and leaves the session; {@code then} runs once that is committed,
-     * which may be never.
+     * Begins nothing more under any duty. The session and its lease stay until {@link #leave}, so
+     * that what is under way keeps its owner.
+     */
+    void stopActing() {
+        stoppedActing = true;
+        sessionLease.markEnded();
+        notifyPlanListener();
+    }
+
+    /** Whether a task under any duty has started and not ended. */
+    boolean isBusy() {
+        return sessionLease.current().stream()
+                .anyMatch(dutyState -> dutyHandler.isBusy(dutyState.duty()));
+    }
+
+    /**
+     * Leaves the session after {@link #stopActing}; {@code then} runs once that is committed, which
+     * may be never.
      */
     void leave(Runnable then) {
         leaving = true;
         onLeft = then;
-        sessionLease.markEnded();
-        notifyPlanListener();
         pendingRequests.clear();
         retryLeave(0);
     }
@@ -499,7 +514,7 @@
                 onLeft = null;
             }
             return;
-        } else if (sessionOpen) {
+        } else if (sessionOpen && !stoppedActing) {
             openNewSession();
         }
         logLeaseChange(context.now());
--- a/src/main/java/wingroad/fleet/FleetNode.java
+++ b/src/main/java/wingroad/fleet/FleetNode.java
@@ -27,6 +27,9 @@
     /** Longest wait for the release of duties when the process stops. */
     private static final Duration LEAVE_TIMEOUT = Duration.ofMillis(1500);
 
+    /** How often a driver that leaves looks whether its work under duties has ended. */
+    private static final Duration BUSY_CHECK_INTERVAL = Duration.ofMillis(20);
+
     private static final int MAX_CHANNELS = 1200;
 
     /** Memory limit of the fleet's connections. */
@@ -266,7 +269,8 @@
     }
 
     /**
-     * Releases all duties and leaves; {@code then} runs once that is committed, or after a timeout.
+     * Begins nothing more under any duty, waits for what is under way, and leaves; {@code then}
+     * runs once that is committed, or after a timeout.
      */
     public void leave(Runnable then) {
         loop.execute(
@@ -289,12 +293,25 @@
                     if (driverSession == null) {
                         finishOnce.run();
                     } else {
-                        driverSession.leave(finishOnce);
-                        loop.schedule(LEAVE_TIMEOUT, finishOnce);
+                        driverSession.stopActing();
+                        leaveOnceIdle(finishOnce);
                     }
                 });
     }
 
+    /**
+     * Leaves once nothing runs under a duty any more: a successor's statement would run beside it.
+     * Where the process ends before that, its lease runs out.
+     */
+    private void leaveOnceIdle(Runnable onLeft) {
+        if (driverSession.isBusy()) {
+            loop.schedule(BUSY_CHECK_INTERVAL, () -> leaveOnceIdle(onLeft));
+            return;
+        }
+        driverSession.leave(onLeft);
+        loop.schedule(LEAVE_TIMEOUT, onLeft);
+    }
+
     /** Closes the voter's state, at the end of the process. */
     public void close() {
         loop.execute(
--- a/src/test/java/wingroad/fleet/FleetIT.java
+++ b/src/test/java/wingroad/fleet/FleetIT.java
@@ -127,6 +127,29 @@
         assertNoStaleOrRepeatedTurn();
     }
 
+    /**
+     * Guards against a chore that runs at two drivers: its owner is told to stop while the
+     * statement runs, and must not hand over before it has ended.
+     */
+    @Test
+    void plannedStopDuringAChoreHandsOverAfterItsEnd() throws Exception {
+        startCluster(4, 3);
+        FencedMember.ChoreExecution execution = awaitFirstExecution("a");
+        TestCluster.DriverProcess owner = driverThatRan(execution);
+        member.setChoreDurationMs(2000);
+        member.awaitExecution(
+                member.executionCount(),
+                candidate ->
+                        candidate.chore().equals("a") && candidate.epoch() == execution.epoch());
+        owner.terminate();
+        FencedMember.ChoreExecution nextExecution = awaitNextOwnerExecution(execution);
+        assertThat(nextExecution.accepted()).isTrue();
+        assertThat(member.overlappingChores()).as("chores at two drivers").isZero();
+        owner.awaitExit();
+        owner.awaitLog("fleet: left after");
+        assertNoStaleOrRepeatedTurn();
+    }
+
     /**
      * An owner is paused after its statement was sent but before it arrived; a successor acts
      * meanwhile. The member must reject the statement when it is delivered late.
--- a/src/test/java/wingroad/fleet/SimFleet.java
+++ b/src/test/java/wingroad/fleet/SimFleet.java
@@ -364,7 +364,7 @@
                 Duration leaseEnd,
                 ChoreRunner.Completion completion) {
             if (now().compareTo(leaseEnd) >= 0) {
-                completion.completed("not begun: no lease");
+                completion.completed("not begun: no lease", false);
                 return;
             }
             if (random.nextInt(40) == 0) {
@@ -386,11 +386,11 @@
                                             && !heldDirections.contains("member>" + name)) {
                                         runAt(
                                                 nowNanos + 500_000,
-                                                () -> completion.completed(outcome));
+                                                () -> completion.completed(outcome, false));
                                     } else if (ownIncarnation == incarnation) {
                                         runAt(
                                                 nowNanos + 2_000_000_000L,
-                                                () -> completion.completed("unknown"));
+                                                () -> completion.completed("unknown", true));
                                     }
                                 });
                     };
--- a/src/test/java/wingroad/fleet/SimFleetTest.java
+++ b/src/test/java/wingroad/fleet/SimFleetTest.java
@@ -150,7 +150,12 @@
                 continue;
             }
             fleet.processes.get(leaver.driverSession.attachedVoter()).paused = true;
-            leaver.runAt(fleet.nowNanos, () -> leaver.driverSession.leave(() -> {}));
+            leaver.runAt(
+                    fleet.nowNanos,
+                    () -> {
+                        leaver.driverSession.stopActing();
+                        leaver.driverSession.leave(() -> {});
+                    });
             fleet.advance(450);
             assertThat(fleet.dutyOwners().values())
                     .as("seed " + seed)
--- a/src/test/java/wingroad/rig/FencedMember.java
+++ b/src/test/java/wingroad/rig/FencedMember.java
@@ -63,6 +63,9 @@
     private final List<ReceivedTxn> txns = new ArrayList<>();
     private final CountDownLatch slowReadsReleased = new CountDownLatch(1);
     private volatile long answerDelayMs;
+    private volatile long choreDurationMs;
+    private int overlappingChoreCount;
+    private final Map<String, Long> runningChoreEpochs = new HashMap<>();
     private volatile Semaphore concurrencyPermits;
     private StartupCapacity startupCapacity;
     private long startedAtMs;
@@ -87,10 +90,14 @@
             handleTxn(sql, session);
             return;
         }
-        if (recordExecution(
-                matcher.group(1),
-                Long.parseLong(matcher.group(4)),
-                Long.parseLong(matcher.group(3)))) {
+        boolean accepted =
+                recordExecution(
+                        matcher.group(1),
+                        Long.parseLong(matcher.group(4)),
+                        Long.parseLong(matcher.group(3)));
+        sleep(choreDurationMs);
+        if (accepted) {
+            recordChoreEnd(matcher.group(1), Long.parseLong(matcher.group(4)));
             session.sendRow("1", member.primary);
         } else {
             // raise_exception, the error that the SQL function of the fence raises
@@ -163,6 +170,14 @@
         }
     }
 
+    private static void sleep(long ms) {
+        try {
+            TimeUnit.MILLISECONDS.sleep(ms);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
     private void answerTxn(String sql, FakeMemberSession session) throws IOException {
         if (sql.contains("id=slow")) {
             CountDownLatch released = slowReadsReleased;
@@ -171,12 +186,8 @@
             } catch (InterruptedException e) {
                 Thread.currentThread().interrupt();
             }
-        } else if (answerDelayMs > 0) {
-            try {
-                TimeUnit.MILLISECONDS.sleep(answerDelayMs);
-            } catch (InterruptedException e) {
-                Thread.currentThread().interrupt();
-            }
+        } else {
+            sleep(answerDelayMs);
         }
         boolean write = sql.contains("INSERT");
         if (write && !member.primary) {
@@ -229,6 +240,16 @@
         answerDelayMs = ms;
     }
 
+    /** Sets how long each chore's statement takes. */
+    public void setChoreDurationMs(long ms) {
+        choreDurationMs = ms;
+    }
+
+    /** Returns how often a chore's statement began while one of another epoch was running. */
+    public synchronized int overlappingChores() {
+        return overlappingChoreCount;
+    }
+
     /** Sets the replication lag that the member reports. */
     public void setReplicationLagMs(long ms) {
         member.replicationLagMs = ms;
@@ -278,10 +299,18 @@
         if (accepted && !executedTurns.add(chore + " " + turn)) {
             repeatedTurns++;
         }
+        if (accepted) {
+            Long runningEpoch = runningChoreEpochs.put(chore, epoch);
+            overlappingChoreCount += runningEpoch != null && runningEpoch != epoch ? 1 : 0;
+        }
         notifyAll();
         return accepted;
     }
 
+    private synchronized void recordChoreEnd(String chore, long epoch) {
+        runningChoreEpochs.remove(chore, epoch);
+    }
+
     /** Returns the chores' statements in the order in which they came. */
     public synchronized List<ChoreExecution> executions() {
         return List.copyOf(executions);
