Fair queues: connections that were open before they are switched on are served

Cause: the client's context was made with its startup, only while fair queues were on; without it FairQueues.onTxnArrived fails and the txn is declined.

Change: the connection keeps its startup parameters, and the context is made with the first txn while fair queues are on.

Red before: DriverIT.fairQueuesEnabledByReloadServeConnectionsThatAreOpen ("error 53300").

--- a/src/main/java/wingroad/driver/ClientConnection.java
+++ b/src/main/java/wingroad/driver/ClientConnection.java
@@ -82,7 +82,10 @@
     private boolean started;
     private boolean hasQueried;
 
-    /** Null if tenants are not told apart. */
+    /** The parameters of its startup message. */
+    private byte[] startupParameters;
+
+    /** Null if tenants are not told apart, or have not been since its last txn. */
     private ClientContext clientContext;
 
     /** The dispatcher's name of the txn that waits for its final answer, or null. */
@@ -210,7 +213,7 @@
         switch (message.kind()) {
             case STARTUP, STARTUP_NEWER_MINOR -> {
                 started = true;
-                clientContext = frontend.clientContext(connection.remoteHost(), message.body());
+                startupParameters = message.body();
                 send(
                         new ClientMessageEncoder()
                                 .startupComplete(
@@ -444,7 +447,11 @@
         return hasQueried;
     }
 
+    /** Identifies the client to the fair queues; null if tenants are not told apart. */
     ClientContext clientContext() {
+        if (clientContext == null) {
+            clientContext = frontend.clientContext(connection.remoteHost(), startupParameters);
+        }
         return clientContext;
     }
 
--- a/src/test/java/wingroad/driver/DriverIT.java
+++ b/src/test/java/wingroad/driver/DriverIT.java
@@ -1247,6 +1247,20 @@
         assertThat(client.readResponses()).containsExactly("row late");
     }
 
+    /** Guards connections that were open before the fair queues against declines. */
+    @Test
+    void fairQueuesEnabledByReloadServeConnectionsThatAreOpen() throws Exception {
+        TestClient client = startAndConnect("// no door yet");
+        assertThat(client.query(writeStatement("before")).readResponses())
+                .containsExactly("row from primary");
+        Files.writeString(
+                tempDir.resolve("operator.kdl"), DOOR_NODE_START + " tenant svc weight=3\n}");
+        sendHangUp();
+        awaitLogLine("operator's file reloaded, 1 tenants listed");
+        assertThat(client.query(writeStatement("after")).readResponses())
+                .containsExactly("row from primary");
+    }
+
     @Test
     void shutdownWithFullQueueAnswersAllClients() throws Exception {
         startAndConnect(DOOR_NODE_START + "}");
