--- a/src/test/java/wingroad/driver/MemberPoolsTest.java
+++ b/src/test/java/wingroad/driver/MemberPoolsTest.java
@@ -328,11 +328,7 @@
             assertThat(awaitCompletion().outcome()).isEqualTo(Outcome.MOOT);
             dispatchToMovingMember();
             Peer nextConnection = acceptStartup(member.accept());
-            nextConnection.send(
-                    message('T', ROW_DESCRIPTION),
-                    message('D', dataRowBody("own")),
-                    message('C', cString("SELECT 1")),
-                    READY_FOR_QUERY);
+            sendRow(nextConnection, "own");
             assertThat(new String(awaitCompletion().row(), StandardCharsets.ISO_8859_1))
                     .contains("own");
         }
@@ -634,16 +630,9 @@
                         new FakeMember(false, (sql, session) -> session.sendRow("new", false))) {
             updateMovingMember(oldAddress.port());
             dispatchToMovingMember();
-            Peer connection = oldAddress.accept();
-            connection.read(startupLength(connection) - 4);
-            connection.send(message('R', new byte[4]), READY_FOR_QUERY);
-            connection.readUntil("'\0");
+            Peer connection = acceptStartup(oldAddress.accept());
             updateMovingMember(movedMember.port());
-            connection.send(
-                    message('T', ROW_DESCRIPTION),
-                    message('D', dataRowBody("old")),
-                    message('C', cString("SELECT 1")),
-                    READY_FOR_QUERY);
+            sendRow(connection, "old");
             assertThat(new String(awaitCompletion().row(), StandardCharsets.ISO_8859_1))
                     .contains("old");
             connection.readUntilClosed();
@@ -695,16 +684,9 @@
         try (Peer.Listener listener = new Peer.Listener()) {
             updateMovingMember(listener.port());
             dispatchToMovingMember();
-            Peer connection = listener.accept();
-            connection.read(startupLength(connection) - 4);
-            connection.send(message('R', new byte[4]), READY_FOR_QUERY);
-            connection.readUntil("'\0");
+            Peer connection = acceptStartup(listener.accept());
             loop.execute(() -> pools.removeUnknown(id -> false));
-            connection.send(
-                    message('T', ROW_DESCRIPTION),
-                    message('D', dataRowBody("x")),
-                    message('C', cString("SELECT 1")),
-                    READY_FOR_QUERY);
+            sendResponse(connection);
             assertThat(awaitCompletion().outcome()).isEqualTo(Outcome.COMMITTED);
             connection.readUntilClosed();
         }
@@ -779,24 +761,14 @@
         try (Peer.Listener member = new Peer.Listener()) {
             updateMovingMember(member.port());
             dispatchToMovingMember();
-            Peer connection = member.accept();
-            connection.read(startupLength(connection) - 4);
-            connection.send(message('R', new byte[4]), READY_FOR_QUERY);
-            connection.readUntil("'\0");
-            connection.send(
-                    message('T', ROW_DESCRIPTION),
-                    message('D', dataRowBody("x")),
-                    message('C', cString("SELECT 1")),
-                    READY_FOR_QUERY);
+            Peer connection = acceptStartup(member.accept());
+            sendResponse(connection);
             assertThat(awaitCompletion().outcome()).isEqualTo(Outcome.COMMITTED);
             answerEmptyQuery(connection);
             connection.send(new byte[] {'S', 0, 0});
             connection.readUntilClosed();
             dispatchToMovingMember();
-            Peer secondConnection = member.accept();
-            secondConnection.read(startupLength(secondConnection) - 4);
-            secondConnection.send(message('R', new byte[4]), READY_FOR_QUERY);
-            secondConnection.readUntil("'\0");
+            Peer secondConnection = acceptStartup(member.accept());
             secondConnection.reset();
             assertThat(awaitCompletion().outcome()).isEqualTo(Outcome.RESET);
         }
@@ -811,9 +783,13 @@
     }
 
     private static void sendResponse(Peer connection) throws IOException {
+        sendRow(connection, "x");
+    }
+
+    private static void sendRow(Peer connection, String value) throws IOException {
         connection.send(
                 message('T', ROW_DESCRIPTION),
-                message('D', dataRowBody("x")),
+                message('D', dataRowBody(value)),
                 message('C', cString("SELECT 1")),
                 READY_FOR_QUERY);
     }
