Router: the health of members in a class of its own

MemberHealth decides which member is unresponsive and for how long one that failed is left alone; the adaptation of limits to response times goes to MemberLimits beside the limits. No behaviour changes; random numbers are drawn in the same order.

Tests of the router and the state are green.

--- a/src/main/java/wingroad/routing/MemberLimits.java
+++ b/src/main/java/wingroad/routing/MemberLimits.java
@@ -6,6 +6,7 @@
 import wingroad.state.HostClassLoad;
 import wingroad.state.Member;
 import wingroad.state.ResponseTimeStatistics;
+import wingroad.state.Txn;
 import wingroad.state.TxnType;
 
 import java.time.Duration;
@@ -40,6 +41,27 @@
      */
     private static final double WARM_UP_CREDIT_FACTOR = 0.6;
 
+    /** Multiplicative decrease of a concurrency limit; the increase is additive. */
+    private static final double LIMIT_DECREASE_FACTOR = 0.75;
+
+    /** Slowness ratio above which a replica's lag is attributed to its load. */
+    private static final double LOADED_SLOWNESS_RATIO = 0.75;
+
+    /** Smallest share of the reads without a fresh replica that may go to the primary. */
+    static final double MIN_SPILL_SHARE = 0.1;
+
+    /**
+     * Factor on the spill share at each read that the primary answers while its mean response time,
+     * relative to the target, is above 1.
+     */
+    private static final double SPILL_DECREASE_FACTOR = 0.8;
+
+    /**
+     * Factor on the spill share at each read that the primary answers while its mean response time,
+     * relative to the target, is not above 1.
+     */
+    private static final double SPILL_INCREASE_FACTOR = 1.5;
+
     private final Settings settings;
     private final Random random;
     private final TxnType referenceType;
@@ -54,6 +76,9 @@
     /** Time that a member needs from its start to its full capacity. */
     private final Duration warmUpPeriod;
 
+    /** Smallest maximum data age of the txn types. */
+    private final Duration shortestAgeLimit;
+
     /** All members that the router knows, a live view. */
     private final Collection<Member> members;
 
@@ -66,6 +91,7 @@
      * @param referenceType the txn type whose baseline response time is the unit of credit
      * @param timeScale longest SLA time of an update
      * @param loadHalfLife half-life of the work that was submitted to a host class
+     * @param shortestAgeLimit smallest maximum data age of the txn types
      * @param members all members that the router knows, a live view
      */
     MemberLimits(
@@ -75,6 +101,7 @@
             ResponseTimeStatistics responseTimes,
             Duration timeScale,
             Duration loadHalfLife,
+            Duration shortestAgeLimit,
             Collection<Member> members) {
         this.settings = settings;
         this.random = random;
@@ -83,6 +110,7 @@
         this.timeScale = timeScale;
         this.loadHalfLife = loadHalfLife;
         this.warmUpPeriod = settings.duration("cold");
+        this.shortestAgeLimit = shortestAgeLimit;
         this.members = members;
     }
 
@@ -116,6 +144,46 @@
         }
     }
 
+    /** Updates the statistics, the member's concurrency limit and the group's spill share. */
+    void recordResponseTime(Member member, Txn txn, Duration responseTime, Duration now) {
+        responseTimes.record(member, txn.type, responseTime, now);
+        member.answerCount.add(now, 1);
+        member.slownessSum.add(
+                now, toMillis(responseTime) / responseTimes.targetMs(member, txn.type));
+        // Overloaded replicas fall behind. A lag well within the age limit lowers the concurrency
+        // limit while it grows and else keeps it from rising. If answers are quick, the lag has
+        // another cause.
+        boolean lagging =
+                member != member.group.primary
+                        && member.lagOrZero().compareTo(shortestAgeLimit.dividedBy(4)) > 0
+                        && slownessRatio(member, now) > LOADED_SLOWNESS_RATIO;
+        boolean lagIsGrowing = member.lagOrZero().compareTo(member.previousLag) > 0;
+        member.previousLag = member.lagOrZero();
+        if (slownessRatio(member, now) > 1 || lagging && lagIsGrowing) {
+            decreaseLimit(member);
+        } else if (!lagging && member.outstanding.size() + 1 >= member.concurrencyLimit - 1) {
+            member.concurrencyLimit += 1 / member.concurrencyLimit;
+        }
+        if (member == txn.group.primary && !txn.type.isUpdate()) {
+            txn.group.spillShare =
+                    slownessRatio(member, now) > 1
+                            ? Math.max(
+                                    MIN_SPILL_SHARE, txn.group.spillShare * SPILL_DECREASE_FACTOR)
+                            : Math.min(1, txn.group.spillShare * SPILL_INCREASE_FACTOR);
+        }
+    }
+
+    /** Lowers the member's concurrency limit, from the submissions that it has got at most. */
+    void decreaseLimit(Member member) {
+        double usedLimit = Math.min(member.concurrencyLimit, member.outstanding.size() + 1);
+        member.concurrencyLimit = Math.max(1, usedLimit * LIMIT_DECREASE_FACTOR);
+    }
+
+    /** Mean ratio of recent response times to their targets; above 1 the member is too slow. */
+    double slownessRatio(Member member, Duration now) {
+        return (member.slownessSum.valueAt(now) + 0.5) / (member.answerCount.valueAt(now) + 1);
+    }
+
     /** How many submissions this driver may have outstanding at the member. */
     double submissionLimit(Member member, Duration now) {
         double highestMinimum =
--- a/src/main/java/wingroad/routing/TxnRouter.java
+++ b/src/main/java/wingroad/routing/TxnRouter.java
@@ -59,33 +59,9 @@
     /** How many times faster all drivers together may probe a primary after a change. */
     private static final long FAST_PROBE_RATE_FACTOR = 10;
 
-    /** Smallest share of the reads without a fresh replica that may go to the primary. */
-    private static final double MIN_SPILL_SHARE = 0.1;
-
-    /**
-     * Factor on the spill share at each read that the primary answers while its mean response time,
-     * relative to the target, is above 1.
-     */
-    private static final double SPILL_DECREASE_FACTOR = 0.8;
-
-    /**
-     * Factor on the spill share at each read that the primary answers while its mean response time,
-     * relative to the target, is not above 1.
-     */
-    private static final double SPILL_INCREASE_FACTOR = 1.5;
-
     /** Share of the primary's limit that reads may fill; the rest is left to the writes. */
     private static final double READ_SHARE_OF_PRIMARY_LIMIT = 0.75;
 
-    /** Unanswered work, in mean response times, after which a member counts as unresponsive. */
-    private static final double UNRESPONSIVE_AFTER_MEAN_TIMES = 4;
-
-    /** Multiplicative decrease of a concurrency limit; the increase is additive. */
-    private static final double LIMIT_DECREASE_FACTOR = 0.75;
-
-    /** Slowness ratio above which a replica's lag is attributed to its load. */
-    private static final double LOADED_SLOWNESS_RATIO = 0.75;
-
     /** Half-life of counts and mean response times, in multiples of {@link #timeScale}. */
     private static final long HALF_LIFE_TIME_SCALES = 4;
 
@@ -121,17 +97,6 @@
     /** Largest random cost, which spreads reads over members of nearly the same cost. */
     private static final double COST_JITTER = 0.02;
 
-    /** Shortest backoff after a failure, before jitter. */
-    private static final long MIN_FAILURE_BACKOFF_MS = 250;
-
-    private static final int MAX_FAILURE_BACKOFF_DOUBLINGS = 3;
-    private static final int MAX_REFUSAL_BACKOFF_DOUBLINGS = 4;
-
-    /** A backoff is multiplied by a random factor from this to this plus the range. */
-    private static final double BACKOFF_JITTER_MIN = 0.75;
-
-    private static final double BACKOFF_JITTER_RANGE = 0.5;
-
     /**
      * A check that is scheduled for a certain time.
      *
@@ -147,6 +112,7 @@
 
     private final ResponseTimeStatistics responseTimes;
     private final MemberLimits limits;
+    private final MemberHealth health;
     private final SessionWrites sessionWrites = new SessionWrites();
     private final DecayingSum firstSubmissionCount;
     private final DecayingSum furtherSubmissionCount;
@@ -247,7 +213,10 @@
                         responseTimes,
                         timeScale,
                         countHalfLife,
+                        shortestAgeLimit,
                         members.values());
+        this.health =
+                new MemberHealth(this.settings, random, log, txnTypes[0], responseTimes, timeScale);
         this.firstSubmissionCount = new DecayingSum(countHalfLife);
         this.furtherSubmissionCount = new DecayingSum(countHalfLife);
         this.endedCount = new DecayingSum(countHalfLife);
@@ -277,7 +246,9 @@
             Duration startedAt) {
         Member member = members.computeIfAbsent(memberId, i -> new Member(i, timeScale));
         if (member.group == null) {
-            member.group = groups.computeIfAbsent(groupId, i -> new Group(i, MIN_SPILL_SHARE));
+            member.group =
+                    groups.computeIfAbsent(
+                            groupId, i -> new Group(i, MemberLimits.MIN_SPILL_SHARE));
             member.group.members.add(member);
             member.concurrencyLimit = MemberLimits.INITIAL_CONCURRENCY_LIMIT;
         }
@@ -362,7 +333,8 @@
             Duration sinceLastWrite,
             boolean retry,
             Duration queuedTime) {
-        Group group = groups.computeIfAbsent(groupId, i -> new Group(i, MIN_SPILL_SHARE));
+        Group group =
+                groups.computeIfAbsent(groupId, i -> new Group(i, MemberLimits.MIN_SPILL_SHARE));
         Txn txn =
                 new Txn(
                         txnId,
@@ -426,7 +398,7 @@
         endedCount.add(now, 1);
         if (outcome == Outcome.COMMITTED) {
             committedCount.add(now, 1);
-            recordResponseTime(member, submission.txn, duration, now);
+            limits.recordResponseTime(member, submission.txn, duration, now);
             limits.workCommitted(member, submission.txn.type, duration, now);
             if (submission.txn.type.isUpdate()
                     && submission.txn.session >= 0
@@ -435,28 +407,24 @@
             }
         }
         if (outcome == Outcome.TIMED_OUT) {
-            member.concurrencyLimit =
-                    Math.max(
-                            1,
-                            Math.min(member.concurrencyLimit, member.outstanding.size() + 1)
-                                    * LIMIT_DECREASE_FACTOR);
+            limits.decreaseLimit(member);
         }
         if (outcome == Outcome.COMMITTED
                 || outcome == Outcome.MISSED
                 || outcome == Outcome.ERROR
                 || outcome == Outcome.FULL) {
-            recordAnswer(member, now, outcome);
+            health.recordAnswer(member, now, outcome);
         } else if (connectionRefused) {
-            recordConnectionRefusal(member, now);
+            connectionRefused(member, now);
         } else if (outcome != Outcome.CANCELLED
                 && outcome != Outcome.MOOT
                 && !(outcome == Outcome.TIMED_OUT
                         && member.lastProgressAt.compareTo(submission.sentAt) > 0)) {
-            recordFailure(member, now, outcome);
+            health.recordFailure(member, now, outcome);
         }
         if (member.unresponsive && member.outstanding.isEmpty()) {
             member.unresponsive = false;
-            recordFailure(member, now, outcome);
+            health.recordFailure(member, now, outcome);
         }
         if (role != Role.UNKNOWN) {
             recordRole(member, role, roleProvenAt(submission, role, position, now), now);
@@ -825,7 +793,7 @@
         // be retried.
         if (primary == null) {
             startSearch(group, now, "no primary known");
-        } else if (checkUnresponsive(primary, now)) {
+        } else if (health.checkUnresponsive(primary, now)) {
             startSearch(
                     group,
                     now,
@@ -948,7 +916,7 @@
                 continue;
             }
             replicaCount++;
-            if (isUnavailable(member, now)) {
+            if (health.isUnavailable(member, now)) {
                 continue;
             }
             boolean isFresh =
@@ -965,7 +933,7 @@
                         && !isOutstandingOrMissedAt(txn, member)
                         && !isCertainMiss(member, requiredPosition, now)
                         && (leastLagging == null
-                                || lagOf(member).compareTo(lagOf(leastLagging)) < 0)) {
+                                || member.lagOrZero().compareTo(leastLagging.lagOrZero()) < 0)) {
                     leastLagging = member;
                 }
                 continue;
@@ -1006,7 +974,7 @@
                 || primary == null
                 || group.searching
                 || !isConfirmedPrimary(primary)
-                || isUnavailable(primary, now)
+                || health.isUnavailable(primary, now)
                 || mustStop(primary, now, true)) {
             return null;
         }
@@ -1043,10 +1011,6 @@
                         < 0;
     }
 
-    private static Duration lagOf(Member member) {
-        return member.lag == null ? Duration.ZERO : member.lag;
-    }
-
     /** Whether a submission of the txn is outstanding at the member or was missed there. */
     private static boolean isOutstandingOrMissedAt(Txn txn, Member member) {
         return txn.submissions.stream()
@@ -1084,7 +1048,7 @@
         for (int i = 0; i < group.members.size() && probedCount < MAX_POSITION_PROBE_COUNT; i++) {
             Member member = group.members.get((start + i) % group.members.size());
             if (member != group.primary
-                    && !isUnavailable(member, now)
+                    && !health.isUnavailable(member, now)
                     && (member.probeInFlight
                             || (member.lastProbeAt == null
                                             || now.minus(member.lastProbeAt)
@@ -1106,7 +1070,8 @@
     private double cost(Member member, Duration now) {
         double slowness =
                 Math.min(
-                        MAX_COST_SLOWNESS, Math.max(MIN_COST_SLOWNESS, slownessRatio(member, now)));
+                        MAX_COST_SLOWNESS,
+                        Math.max(MIN_COST_SLOWNESS, limits.slownessRatio(member, now)));
         double zonePenalty =
                 member.zone != (int) settings.number("zone")
                                 && settings.number("price.cross-zone") > 0
@@ -1164,7 +1129,7 @@
             return;
         }
         for (Submission submission : txn.submissions) {
-            if (submission.isOutstanding() && checkUnresponsive(submission.member, now)) {
+            if (submission.isOutstanding() && health.checkUnresponsive(submission.member, now)) {
                 resubmitElsewhere(txn, submission, now);
             }
         }
@@ -1292,172 +1257,19 @@
                                 * firstSubmissionCount.valueAt(now);
     }
 
-    // ---- Health and load of members ----
-
-    /** Updates the statistics, the member's concurrency limit and the group's spill share. */
-    private void recordResponseTime(Member member, Txn txn, Duration responseTime, Duration now) {
-        responseTimes.record(member, txn.type, responseTime, now);
-        member.answerCount.add(now, 1);
-        member.slownessSum.add(
-                now, toMillis(responseTime) / responseTimes.targetMs(member, txn.type));
-        // Overloaded replicas fall behind. A lag well within the age limit lowers the concurrency
-        // limit while it grows and else keeps it from rising. If answers are quick, the lag has
-        // another cause.
-        boolean lagging =
-                member != member.group.primary
-                        && lagOf(member).compareTo(shortestAgeLimit.dividedBy(4)) > 0
-                        && slownessRatio(member, now) > LOADED_SLOWNESS_RATIO;
-        boolean lagIsGrowing = lagOf(member).compareTo(member.previousLag) > 0;
-        member.previousLag = lagOf(member);
-        if (slownessRatio(member, now) > 1 || lagging && lagIsGrowing) {
-            member.concurrencyLimit =
-                    Math.max(
-                            1,
-                            Math.min(member.concurrencyLimit, member.outstanding.size() + 1)
-                                    * LIMIT_DECREASE_FACTOR);
-        } else if (!lagging && member.outstanding.size() + 1 >= member.concurrencyLimit - 1) {
-            member.concurrencyLimit += 1 / member.concurrencyLimit;
-        }
-        if (member == txn.group.primary && !txn.type.isUpdate()) {
-            txn.group.spillShare =
-                    slownessRatio(member, now) > 1
-                            ? Math.max(
-                                    MIN_SPILL_SHARE, txn.group.spillShare * SPILL_DECREASE_FACTOR)
-                            : Math.min(1, txn.group.spillShare * SPILL_INCREASE_FACTOR);
-        }
-    }
-
-    /** Mean ratio of recent response times to their targets; above 1 the member is too slow. */
-    private double slownessRatio(Member member, Duration now) {
-        return (member.slownessSum.valueAt(now) + 0.5) / (member.answerCount.valueAt(now) + 1);
-    }
-
-    /**
-     * Whether the member is unresponsive: its outstanding submissions together have waited several
-     * mean response times since its last answer.
-     */
-    private boolean checkUnresponsive(Member member, Duration now) {
-        if (member.unresponsive || member.outstanding.isEmpty()) {
-            return member.unresponsive;
-        }
-        double waitedMeanTimes = 0;
-        for (Submission submission : member.outstanding) {
-            // A submission that much later answers have overtaken is stuck alone and says nothing
-            // about the member.
-            double meanMs = responseTimes.meanMs(submission.txn.type, now);
-            waitedMeanTimes +=
-                    toMillis(member.lastProgressAt.minus(submission.sentAt))
-                                    > UNRESPONSIVE_AFTER_MEAN_TIMES * meanMs
-                            ? 0
-                            : toMillis(now.minus(max(submission.sentAt, member.lastProgressAt)))
-                                    / meanMs;
-        }
-        // A mean response time must have passed since the last answer as well: many outstanding
-        // submissions alone are no reason for doubt.
-        Txn firstTxn = member.outstanding.iterator().next().txn;
-        if (waitedMeanTimes > UNRESPONSIVE_AFTER_MEAN_TIMES
-                && toMillis(now.minus(member.lastProgressAt))
-                        > responseTimes.meanMs(firstTxn.type, now)) {
-            member.unresponsive = true;
-            log.accept(
-                    "member "
-                            + member.id
-                            + " has not answered for "
-                            + (long) toMillis(now.minus(member.lastProgressAt))
-                            + " ms; outstanding submissions: "
-                            + member.outstanding.size());
-        }
-        return member.unresponsive;
-    }
-
-    /** Whether the member is unresponsive or in backoff after failures. */
-    private boolean isUnavailable(Member member, Duration now) {
-        return now.compareTo(member.backoffUntil) < 0 || checkUnresponsive(member, now);
-    }
-
-    /** Any answer of the member, an error or a rejection included, proves that it runs. */
-    private void recordAnswer(Member member, Duration now, Outcome outcome) {
-        member.lastProgressAt = now;
-        if (member.unresponsive) {
-            member.unresponsive = false;
-            log.accept("member " + member.id + " answers again");
-        }
-        if (outcome == Outcome.FULL) {
-            member.concurrencyLimit = Math.max(1, member.concurrencyLimit / 2);
-            member.backoffUntil =
-                    max(
-                            member.backoffUntil,
-                            now.plus(ofMillis(responseTimes.baselineMs(txnTypes[0]))));
-        } else {
-            member.consecutiveFailures = 0;
-            // A member that was unreachable for a while may have restarted before the list says so:
-            // it starts its warm-up, so that it is not overloaded.
-            if (member.unreachableSince != null
-                    && now.minus(member.unreachableSince).compareTo(timeScale) > 0) {
-                member.startedAt = now;
-                member.creditUpdatedAt = null;
-            }
-            member.unreachableSince = null;
-        }
-    }
-
     /**
      * Backs off from a member that refused a connection. A primary is probed as well, and a writer
      * search starts if the probe cannot be sent or fails.
      */
-    private void recordConnectionRefusal(Member member, Duration now) {
+    private void connectionRefused(Member member, Duration now) {
         refusedConnectionCount.add(now, 1);
-        member.consecutiveFailures++;
-        member.unreachableSince =
-                member.unreachableSince == null && member.outstanding.isEmpty()
-                        ? now
-                        : member.unreachableSince;
-        Duration backoff =
-                ofMillis(
-                        responseTimes.baselineMs(txnTypes[0])
-                                / 4
-                                * Math.pow(
-                                        2,
-                                        Math.min(
-                                                member.consecutiveFailures,
-                                                MAX_REFUSAL_BACKOFF_DOUBLINGS)));
-        member.backoffUntil =
-                now.plus(
-                        scale(
-                                backoff,
-                                BACKOFF_JITTER_MIN + BACKOFF_JITTER_RANGE * random.nextDouble()));
+        health.recordConnectionRefusal(member, now);
         if (member == member.group.primary && !member.group.searching && !probe(member, now)) {
             startSearch(member.group, now, "primary " + member.id + " refused a connection");
         }
     }
 
-    private void recordFailure(Member member, Duration now, Outcome outcome) {
-        member.consecutiveFailures++;
-        if (member.unreachableSince == null
-                && (outcome == Outcome.UNREACHABLE || outcome == Outcome.RESET)) {
-            member.unreachableSince = now;
-        }
-        // A single broken connection between answers is tolerated; the next one starts a backoff.
-        if (member.consecutiveFailures < 2
-                && (outcome == Outcome.RESET || outcome == Outcome.UNREACHABLE)) {
-            return;
-        }
-        Duration backoff =
-                scale(
-                        max(
-                                Duration.ofMillis(MIN_FAILURE_BACKOFF_MS),
-                                settings.duration("connect-time-out")),
-                        Math.pow(
-                                2,
-                                Math.min(
-                                        member.consecutiveFailures - 1,
-                                        MAX_FAILURE_BACKOFF_DOUBLINGS)));
-        member.backoffUntil =
-                now.plus(
-                        scale(
-                                backoff,
-                                BACKOFF_JITTER_MIN + BACKOFF_JITTER_RANGE * random.nextDouble()));
-    }
+    // ---- Members ----
 
     /**
      * Whether nothing new may be sent to the member because it is draining or gone.
--- a/src/main/java/wingroad/state/Member.java
+++ b/src/main/java/wingroad/state/Member.java
@@ -114,4 +114,9 @@
         this.answerCount = new DecayingSum(halfLife);
         this.slownessSum = new DecayingSum(halfLife);
     }
+
+    /** Its lag when the position was last reported, or zero if that is unknown. */
+    public Duration lagOrZero() {
+        return lag == null ? Duration.ZERO : lag;
+    }
 }
