DriverIT: a late answer of a former primary, with real processes

This test's members answer it, and the former primary has told that it is a replica before its late answer arrives.

Red with the answer's role dated by its arrival ("row old"), green as it is.

--- a/src/test/java/wingroad/driver/DriverIT.java
+++ b/src/test/java/wingroad/driver/DriverIT.java
@@ -2,11 +2,13 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import static wingroad.Fixtures.READY_FOR_QUERY;
 import static wingroad.Fixtures.ROW_DESCRIPTION;
 import static wingroad.Fixtures.cString;
 import static wingroad.Fixtures.dataRowBody;
 import static wingroad.Fixtures.listEntry;
 import static wingroad.Fixtures.message;
+import static wingroad.Fixtures.parameterStatus;
 import static wingroad.Fixtures.readStatement;
 import static wingroad.Fixtures.writeStatement;
 
@@ -36,6 +38,7 @@
 import java.util.List;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.Semaphore;
 import java.util.concurrent.TimeUnit;
@@ -304,6 +307,65 @@
                 .containsExactly("row from new primary");
     }
 
+    /**
+     * Guards against reads of old data after a failover: the former primary has told that it is a
+     * replica, and then an answer arrives that it wrote before the change.
+     */
+    @Test
+    void readOfTheLatestDoesNotFollowALateAnswerToTheFormerPrimary() throws Exception {
+        Path configPath = Path.of(writeConfiguration(0, DEFAULT_DESCRIPTOR_LIMIT));
+        Files.writeString(
+                configPath,
+                Files.readString(configPath)
+                        .replace("[\"recent\",\"update\"]", "[\"latest\",\"update\"]")
+                        .replace("\"oldest-data\":[1500,0]", "\"oldest-data\":[0,0]"));
+        TestClient client = startAndConnect(startProcess(configPath.toString()));
+        assertThat(client.query(writeStatement("first")).readResponses())
+                .containsExactly("row from primary");
+        primary.awaitQuery();
+        CountDownLatch answerReleased = new CountDownLatch(1);
+        primary.queryHandler(
+                (sql, session) -> {
+                    if (sql.contains("id=delayed")) {
+                        String committedAt = Long.toString(System.currentTimeMillis());
+                        awaitRelease(answerReleased);
+                        session.send(
+                                message('T', ROW_DESCRIPTION),
+                                message('D', dataRowBody("delayed")),
+                                message('C', cString("INSERT 0 1")),
+                                parameterStatus("part", "master"),
+                                parameterStatus("caught_up_to", committedAt),
+                                READY_FOR_QUERY);
+                    } else if (sql.contains("INSERT")) {
+                        session.sendError("25006", false);
+                    } else {
+                        session.sendRow("old", false);
+                    }
+                });
+        TestClient waitingClient = connectClient();
+        waitingClient.query(writeStatement("delayed"));
+        primary.awaitQuery();
+        primary.primary = false;
+        replica.primary = true;
+        replica.queryHandler((sql, session) -> session.sendRow("new", true));
+        assertThat(client.query(writeStatement("second")).readResponses())
+                .containsExactly("row new");
+        answerReleased.countDown();
+        assertThat(waitingClient.readResponses()).containsExactly("row delayed");
+        for (int i = 0; i < 3; i++) {
+            assertThat(client.query(readStatement("r" + i)).readResponses())
+                    .containsExactly("row new");
+        }
+    }
+
+    private static void awaitRelease(CountDownLatch latch) {
+        try {
+            latch.await(WAIT_TIMEOUT_SECONDS, TimeUnit.SECONDS);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
     /**
      * Guards against serving clients the values of other clients' requests: a member sends a second
      * copy of some responses in a write of its own, which its system holds back until the driver
