Members: a connection of a draining member is closed after its response

No list was older than one before, so StaleListFilter did not take part, and a txn that waits for its connection asks the router again.

Change: a connection of a draining member is closed after its response, with no empty query.

--- a/src/main/java/wingroad/driver/MemberConnection.java
+++ b/src/main/java/wingroad/driver/MemberConnection.java
@@ -285,10 +285,12 @@
         }
     }
 
-    /** Returns the connection to its pool, or closes it if the member has moved or is gone. */
+    /**
+     * Returns the connection to its pool, or closes it if the member drains, has moved or is gone.
+     */
     private void returnToPool(State stateInPool) {
         state = stateInPool;
-        if (!pool.isCurrentAddress(address)) {
+        if (!pool.keepsConnections(address)) {
             close();
             return;
         }
--- a/src/main/java/wingroad/driver/MemberPools.java
+++ b/src/main/java/wingroad/driver/MemberPools.java
@@ -70,6 +70,9 @@
         /** The member is gone from the list, or the router has forgotten it. */
         private boolean removed;
 
+        /** The member drains: it finishes what it has, and gets nothing that it need not get. */
+        private boolean draining;
+
         private final Set<MemberConnection> connections = new LinkedHashSet<>();
 
         /** Includes connections under validation; the most recently used one is last. */
@@ -92,6 +95,14 @@
             return !removed && candidate.equals(address);
         }
 
+        /**
+         * Whether a connection may be kept for further requests. Validating one would send
+         * something new to a member that drains.
+         */
+        boolean keepsConnections(InetSocketAddress candidate) {
+            return !draining && isCurrentAddress(candidate);
+        }
+
         void remove(MemberConnection connection) {
             connections.remove(connection);
             idleConnections.remove(connection);
@@ -171,6 +182,7 @@
             pool.closeIdleConnections();
         }
         pool.removed = entry.isGone();
+        pool.draining = entry.isDraining();
         if (entry.isGone()) {
             pool.closeIdleConnections();
         }
--- a/src/main/java/wingroad/driver/StaleListFilter.java
+++ b/src/main/java/wingroad/driver/StaleListFilter.java
@@ -102,9 +102,8 @@
             if (!stopHolds) {
                 recordEntry(entry, now);
             }
-            boolean endsDrain = stopHolds && !entry.isDraining() && !entry.isGone();
-            boolean endsAbsence = stopHolds && stop.entry().isGone();
-            entries.add(endsDrain || endsAbsence ? entry.withState(stop.entry().state()) : entry);
+            boolean endsStop = stopHolds && !entry.isDraining() && !entry.isGone();
+            entries.add(endsStop ? entry.withState(stop.entry().state()) : entry);
         }
         return new MemberList(list.version(), list.complete(), entries);
     }
