--- a/review/rig-2/Rig.java
+++ b/review/rig-2/Rig.java
@@ -374,6 +374,8 @@
         final String name;
         final Agent agent;
         final int port = freePort();
+        int sockets = 1024;
+        int memoryMb = 192;
         private final String settings;
         String operator;
         private Process process;
@@ -396,7 +398,7 @@
         void writeConfig(int discoveryPort) throws IOException {
             Path next = Files.writeString(file("config.next"), "{\"name\":\"" + name + "\",\"listen\":\"127.0.0.1:" + port
                 + "\",\n\"discovery\":\"127.0.0.1:" + discoveryPort + "\",\"seed\":\"" + Long.toHexString(System.nanoTime() & 0xffffff)
-                + "\",\n\"limits\":{\"cores\":1.0,\"memory_mb\":192,\"sockets\":1024},\n\"known\":" + agent.known()
+                + "\",\n\"limits\":{\"cores\":1.0,\"memory_mb\":" + memoryMb + ",\"sockets\":" + sockets + "},\n\"known\":" + agent.known()
                 + ",\n\"settings\":" + settings + "}\n");
             Files.move(next, file("config.json"), StandardCopyOption.ATOMIC_MOVE, StandardCopyOption.REPLACE_EXISTING);
         }
