Fleet: followers of the list duty use the endpoints of their own agent

Cause: MemberListRelay published host and port of the owner's list, and followers applied them. Ruled out: a stale list (the version was the newest) and the router (it chose the right uid).

Change: LocalEndpoints keeps what the driver's own agent lists. A relayed list is applied under these endpoints; where an endpoint may be another one here (unknown or restarted member, endpoint changed at the owner, change that shows in no other field) the version doesn't count as known, and the own agent is asked with each heartbeat until it has answered.

Why it works: an endpoint only ever comes from the driver's own agent or configuration, so no address of another machine is connected to.

--- a/src/main/java/wingroad/driver/Driver.java
+++ b/src/main/java/wingroad/driver/Driver.java
@@ -106,6 +106,9 @@
     private final DiscoveryClient discoveryClient;
     private final StaleListFilter staleListFilter = new StaleListFilter();
 
+    /** Null without a fleet: no list comes from another driver then. */
+    private final LocalEndpoints localEndpoints;
+
     /** {@link WarmUp} has ended. */
     private boolean warmedUp;
 
@@ -190,6 +193,8 @@
                         this::listFound,
                         () -> dispatcher.router().memberListFailed(clock.now()));
         dispatcher.attach(memberPools, discoveryClient, clientFrontend::closeIdleConnection);
+        localEndpoints =
+                operatorFile == null || operatorFile.fleet() == null ? null : new LocalEndpoints();
         maintenanceAgent =
                 operatorFile == null
                                 || operatorFile.fleet() == null
@@ -306,6 +311,9 @@
         // is fetched before any client is accepted.
         loop.execute(
                 () -> {
+                    if (localEndpoints != null) {
+                        localEndpoints.record(configuration.knownMembers());
+                    }
                     applyList(currentList(configuration.knownMembers()));
                     if (pullMode) {
                         firstFetchDone = true;
@@ -396,6 +404,7 @@
                             clock,
                             dispatcher,
                             discoveryClient,
+                            localEndpoints,
                             configuration,
                             !pullMode,
                             this::listLearnt,
@@ -426,6 +435,9 @@
     }
 
     private void listFound(MemberList list) {
+        if (localEndpoints != null) {
+            localEndpoints.record(list);
+        }
         listLearnt(list);
         if (fleetAgent != null) {
             fleetAgent.listFound(list);
--- a/src/main/java/wingroad/driver/MemberListRelay.java
+++ b/src/main/java/wingroad/driver/MemberListRelay.java
@@ -17,8 +17,9 @@
 /**
  * Distributes member lists within the fleet, so that only one driver, the owner of the list duty,
  * watches discovery. Publishes the lists that this driver finds, applies those that the owner
- * sends, and watches discovery itself whenever {@link RelayHealth} does not trust the owner. Runs
- * on the event loop's thread, except for {@link #messageReceived}.
+ * sends, under the endpoints that this driver's own agent gives, and watches discovery itself
+ * whenever {@link RelayHealth} does not trust the owner. Runs on the event loop's thread, except
+ * for {@link #messageReceived}.
  */
 final class MemberListRelay {
     /**
@@ -30,6 +31,7 @@
     private final EventLoop loop;
     private final Clock clock;
     private final DiscoveryClient discoveryClient;
+    private final LocalEndpoints localEndpoints;
     private final Consumer<MemberList> onList;
     private final Consumer<String> log;
     private final Duration checkInterval;
@@ -46,6 +48,7 @@
             EventLoop loop,
             Clock clock,
             DiscoveryClient discoveryClient,
+            LocalEndpoints localEndpoints,
             FleetConfig fleetConfig,
             long knownVersion,
             Consumer<MemberList> onList,
@@ -53,6 +56,7 @@
         this.loop = loop;
         this.clock = clock;
         this.discoveryClient = discoveryClient;
+        this.localEndpoints = localEndpoints;
         this.onList = onList;
         this.log = log;
         checkInterval = fleetConfig.lease().heartbeatInterval().dividedBy(2);
@@ -184,15 +188,33 @@
                 whole,
                 message.containsKey("news"),
                 clock.now())) {
-            case APPLY -> {
-                version = revision;
-                discoveryClient.advanceTo(revision);
-                onList.accept(new MemberList(revision, whole, entries));
-            }
+            case APPLY -> applyRelayed(epoch, new MemberList(revision, whole, entries));
             case FETCH -> discoveryClient.fetch();
             default -> {
                 // nothing new
             }
         }
     }
+
+    /**
+     * Applies a list of the owner under this driver's own endpoints. The own agent is asked for
+     * what the owner can't know, again at each of the owner's heartbeats until it has answered with
+     * that version.
+     */
+    private void applyRelayed(long epoch, MemberList relayed) {
+        LocalEndpoints.Translation translation = localEndpoints.translate(epoch, relayed);
+        if (translation.complete()) {
+            version = relayed.version();
+            relayHealth.onApplied(version);
+            discoveryClient.advanceTo(version);
+        } else {
+            log.accept(
+                    "list: version "
+                            + relayed.version()
+                            + " of the owner has members whose endpoint is unknown here, asking"
+                            + " discovery");
+            discoveryClient.fetch();
+        }
+        onList.accept(translation.list());
+    }
 }
--- a/src/main/java/wingroad/duty/RelayHealth.java
+++ b/src/main/java/wingroad/duty/RelayHealth.java
@@ -79,12 +79,19 @@
             return Action.IGNORE;
         }
         if (hasChanges && (complete || baseRevision <= localRevision)) {
-            localRevision = revision;
             return Action.APPLY;
         }
         return Action.FETCH;
     }
 
+    /**
+     * Records that an update of the owner was applied whole. Without this call the revision counts
+     * as missing here.
+     */
+    public void onApplied(long revision) {
+        localRevision = Math.max(localRevision, revision);
+    }
+
     /** Records a revision that the driver has fetched from discovery itself. */
     public void onDirectFetch(long revision, Duration now) {
         lastCheckAt = now;
--- a/src/test/java/wingroad/duty/RelayHealthTest.java
+++ b/src/test/java/wingroad/duty/RelayHealthTest.java
@@ -30,6 +30,7 @@
     @Test
     void ignoresUpdatesOfOlderEpochsAndRevisions() {
         assertThat(relayHealth.onOwnerUpdate(5, 0, 4, true, true, atMs(0))).isEqualTo(APPLY);
+        relayHealth.onApplied(4);
         assertThat(relayHealth.onOwnerUpdate(4, 0, 9, true, true, atMs(1)))
                 .as("an older epoch")
                 .isEqualTo(IGNORE);
@@ -42,6 +43,7 @@
     void fetchesWhenAnUpdateDoesNotContinueFromTheLocalRevision() {
         relayHealth.onDirectFetch(3, atMs(0));
         assertThat(relayHealth.onOwnerUpdate(5, 3, 4, false, true, atMs(1))).isEqualTo(APPLY);
+        relayHealth.onApplied(4);
         assertThat(relayHealth.onOwnerUpdate(5, 5, 6, false, true, atMs(2)))
                 .as("revision 5 is missing")
                 .isEqualTo(FETCH);
@@ -50,6 +52,17 @@
                 .isEqualTo(FETCH);
     }
 
+    @Test
+    void fetchesUntilAnUpdateThatCouldNotBeAppliedWholeIsKnown() {
+        relayHealth.onDirectFetch(3, atMs(0));
+        assertThat(relayHealth.onOwnerUpdate(5, 3, 4, false, true, atMs(1))).isEqualTo(APPLY);
+        assertThat(relayHealth.onOwnerUpdate(5, 4, 4, false, false, atMs(2)))
+                .as("the heartbeat behind an update that was not applied whole")
+                .isEqualTo(FETCH);
+        relayHealth.onDirectFetch(4, atMs(3));
+        assertThat(relayHealth.onOwnerUpdate(5, 4, 4, false, false, atMs(4))).isEqualTo(IGNORE);
+    }
+
     /**
      * An owner that is cut off from discovery is still heard, but announces an old revision; the
      * driver's own check shows that.
--- a/src/test/java/wingroad/fleet/FleetIT.java
+++ b/src/test/java/wingroad/fleet/FleetIT.java
@@ -11,6 +11,7 @@
 import org.junit.jupiter.api.parallel.ExecutionMode;
 
 import wingroad.Fixtures;
+import wingroad.Fixtures.FakeDiscovery;
 import wingroad.Fixtures.TestClient;
 import wingroad.operator.OperatorFile;
 import wingroad.rig.FaultProxy;
@@ -375,6 +376,66 @@
         assertNoStaleOrRepeatedTurn();
     }
 
+    /**
+     * Guards against a follower of the list's owner that uses the owner's endpoints, where its own
+     * agent lists the members under others: the same address may be another member on its machine,
+     * even one of another group.
+     */
+    @Test
+    void followersUseTheEndpointsOfTheirOwnDiscovery() throws Exception {
+        cluster =
+                new TestCluster(
+                        directory,
+                        3,
+                        3,
+                        FLEET_SETTINGS + "    list check=600\n",
+                        Fixtures.SETTINGS_JSON);
+        member = cluster.addMember("m1", 7, true, true);
+        FencedMember joining = cluster.addMember("m2", 7, false, true);
+        FencedMember otherGroup = cluster.addMember("m3", 8, true, true);
+        cluster.membersUnknownAtStart.add("m2");
+        Map<String, FakeDiscovery> discoveries = new java.util.HashMap<>();
+        for (String name : cluster.drivers.keySet()) {
+            FakeDiscovery discovery = new FakeDiscovery();
+            discovery.publish(cluster.discoveryEntries(name, member, otherGroup));
+            cluster.proxy.linkBetween(name, "discovery").setTargetPort(discovery.port());
+            discoveries.put(name, discovery);
+        }
+        cluster.startAll();
+        List<TestCluster.DriverProcess> followers = awaitListFollowers(2);
+        TestCluster.DriverProcess owner =
+                cluster.drivers.values().stream()
+                        .filter(driver -> !followers.contains(driver))
+                        .findFirst()
+                        .orElseThrow();
+        // On the followers' machines the owner's addresses are a member of another group.
+        for (FencedMember sameGroup : List.of(member, joining)) {
+            cluster.proxy.linkBetween(owner.name, sameGroup.uid).setTargetPort(otherGroup.port());
+        }
+        for (String name : cluster.drivers.keySet()) {
+            discoveries
+                    .get(name)
+                    .publish(cluster.discoveryEntries(name, member, joining, otherGroup));
+        }
+        for (TestCluster.DriverProcess driver : followers) {
+            driver.awaitLog("list 2 whole, 3");
+        }
+        for (TestCluster.DriverProcess driver : followers) {
+            try (TestClient client = new TestClient(driver.port())) {
+                client.sendStartup();
+                for (int n = 0; n < 10; n++) {
+                    client.query(Fixtures.readStatement("r" + driver.name + n)).readResponses();
+                    client.query(Fixtures.writeStatement("w" + driver.name + n)).readResponses();
+                }
+            }
+        }
+        assertThat(otherGroup.txns()).as("statements of group 7").isEmpty();
+        assertThat(member.txns()).isNotEmpty();
+        for (FakeDiscovery discovery : discoveries.values()) {
+            discovery.close();
+        }
+    }
+
     /**
      * Guards against an owner that drops a list received before its fleet components started, so
      * that no driver follows it.
--- a/src/test/java/wingroad/rig/TestCluster.java
+++ b/src/test/java/wingroad/rig/TestCluster.java
@@ -432,6 +432,16 @@
                 .replace("\"pod_group\":7", "\"pod_group\":" + member.group);
     }
 
+    /** The entries of ready members, under the endpoints of a driver's own links. */
+    public String discoveryEntries(String driver, FencedMember... listed) throws IOException {
+        StringBuilder entries = new StringBuilder();
+        for (FencedMember member : listed) {
+            entries.append(entries.length() == 0 ? "" : ",")
+                    .append(discoveryEntry(driver, member, "ready"));
+        }
+        return entries.toString();
+    }
+
     public DriverProcess driver(String name) {
         return drivers.get(name);
     }
