--- /dev/null
+++ b/src/test/java/wingroad/driver/ClientPressureIT.java
@@ -0,0 +1,318 @@
+package wingroad.driver;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import static wingroad.Fixtures.STARTUP_MESSAGE;
+import static wingroad.Fixtures.cString;
+import static wingroad.Fixtures.listEntry;
+import static wingroad.Fixtures.message;
+import static wingroad.Fixtures.readStatement;
+import static wingroad.Fixtures.writeStatement;
+
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.api.parallel.Isolated;
+
+import wingroad.Fixtures.FakeDiscovery;
+import wingroad.Fixtures.FakeMember;
+import wingroad.rig.Bystanders;
+import wingroad.rig.ClientCrowd;
+import wingroad.rig.FloodingClient;
+import wingroad.rig.PackagedDriver;
+
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import java.util.function.IntFunction;
+
+/**
+ * Clients that press the packaged driver, as it is started in service with 192 MB and 1,024
+ * descriptors: its memory, and what ordinary clients beside them get. Each scene prints its
+ * figures.
+ */
+@Isolated
+@SuppressWarnings("try")
+class ClientPressureIT {
+    private static final long WARM_UP_MS = 1000;
+
+    /** How long a scene lasts; the time limits of clients' commands are shorter. */
+    private static final long SCENE_MS = 5000;
+
+    private static final long SAMPLE_INTERVAL_MS = 100;
+
+    private static final int CROWD_SIZE = 800;
+
+    /** More than any text, so that all of it is sent at once. */
+    private static final int UNLIMITED = 1 << 20;
+
+    /** Bytes that a slow client writes every 20 ms: a large write takes 1.7 s. */
+    private static final int SLOW_WRITE_BYTES = 1500;
+
+    /** What must be served where members are healthy: all but 0.05. */
+    private static final double HEALTHY_SHARE = 0.95;
+
+    /** What must be served in any trouble, as a share of what could be. */
+    private static final double TROUBLED_SHARE = 0.5;
+
+    /** A flood may not leave so much behind: it is far less than what a leak does. */
+    private static final long MAX_HEAP_GROWTH_KB = 1024;
+
+    private static final int FLOOD_MS = 4000;
+
+    /** A connection's txns are worked off one by one: several make more of them. */
+    private static final int FLOODING_CLIENT_COUNT = 8;
+
+    /** By then all that is kept of a statement with a time limit of 1 ms is let go. */
+    private static final int SHORT_RELEASE_MS = 500;
+
+    /** By then the ids of writes are let go: the longest expiry, and a check of them. */
+    private static final int WRITE_RELEASE_MS = 5500;
+
+    /** The value that members answer with; more than a connection buffers without asking. */
+    private static final String ROW = "v".repeat(5000);
+
+    private static final String LARGE_ROW = "v".repeat(64 * 1024);
+
+    private static final String FAIR_QUEUES =
+            """
+            /- kdl-version 2
+            door {
+                tenant-from comment tenant
+                tenant-from startup application_name
+            }
+            """;
+
+    @TempDir Path directory;
+
+    private FakeDiscovery discovery;
+    private FakeMember primary;
+    private FakeMember replica;
+    private PackagedDriver driver;
+
+    /** The most bytes that the system held for the driver's client connections in the scene. */
+    private long peakSystemBytes;
+
+    @BeforeEach
+    void startStubs() throws IOException {
+        discovery = new FakeDiscovery();
+        primary = startMember(true);
+        replica = startMember(false);
+    }
+
+    private static FakeMember startMember(boolean isPrimary) throws IOException {
+        return new FakeMember(
+                isPrimary,
+                (sql, session) ->
+                        session.sendRow(
+                                sql.contains("/* id=largeanswer") ? LARGE_ROW : ROW, isPrimary));
+    }
+
+    private void startDriver(String operatorFile) throws IOException {
+        String members =
+                listEntry("s-1", primary.port(), "ready")
+                        + ","
+                        + listEntry("s-2", replica.port(), "ready");
+        discovery.publish(members);
+        driver = new PackagedDriver(directory, discovery.port(), members, operatorFile);
+    }
+
+    private void startDriverWithoutList() throws IOException {
+        discovery.close();
+        driver = new PackagedDriver(directory, discovery.port(), "", null);
+    }
+
+    @AfterEach
+    void stopAll() throws Exception {
+        if (driver != null) {
+            driver.close();
+        }
+        discovery.close();
+        primary.close();
+        replica.close();
+    }
+
+    private static byte[] query(String sql) {
+        return message('Q', cString(sql));
+    }
+
+    private static byte[] largeWrite(int n) {
+        return query(writeStatement("large" + n).replace("9f03", "7f".repeat(64 * 1024)));
+    }
+
+    /** A statement whose comment has nearly as many short fields as a message can hold. */
+    private static byte[] readWithManyFields(int n) {
+        StringBuilder fields = new StringBuilder();
+        for (int i = 0; fields.length() < 125_000; i++) {
+            fields.append(",x").append(Integer.toString(i, 36)).append("=");
+        }
+        return query(readStatement("f" + n).replace(",c=look", fields + ",c=look"));
+    }
+
+    /** A startup message with nearly as many short parameters as it can hold. */
+    private static byte[] startupWithManyFields() {
+        StringBuilder fields = new StringBuilder("user\0svc\0database\0main\0");
+        for (int i = 0; fields.length() < 9980; i++) {
+            fields.append((char) ('!' + i / 90 % 90)).append((char) ('!' + i % 90)).append("\0a\0");
+        }
+        byte[] body = fields.append("\0").toString().getBytes(StandardCharsets.UTF_8);
+        return ByteBuffer.allocate(8 + body.length)
+                .putInt(8 + body.length)
+                .putInt(3 << 16)
+                .put(body)
+                .array();
+    }
+
+    /** Lets the scene go on for its time; returns what the ordinary clients beside it got. */
+    private Bystanders.Summary observe(String scene, Bystanders bystanders) throws Exception {
+        long endNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(SCENE_MS);
+        while (System.nanoTime() < endNanos && driver.isAlive()) {
+            peakSystemBytes = Math.max(peakSystemBytes, driver.systemBufferedBytes());
+            primary.queries.clear();
+            replica.queries.clear();
+            TimeUnit.MILLISECONDS.sleep(SAMPLE_INTERVAL_MS);
+        }
+        assertThat(driver.isAlive()).as("the process lives").isTrue();
+        Bystanders.Summary summary = bystanders.summary();
+        System.out.println(
+                scene
+                        + ": peak memory "
+                        + driver.peakMemoryMb()
+                        + " MB, the system's buffers "
+                        + peakSystemBytes / 1024
+                        + " kB, beside it "
+                        + summary
+                        + driver.logLines("counts since"));
+        return summary;
+    }
+
+    private void assertNoneLost(Bystanders.Summary summary) {
+        assertThat(summary.lost()).as("lost").isZero();
+        assertThat(summary.late()).as("late").isZero();
+        assertThat(summary.failed()).as("failed").isZero();
+    }
+
+    private void assertMemoryLimitKept() throws IOException {
+        assertThat(driver.peakMemoryMb() + (peakSystemBytes >> 20))
+                .as("MB of the process and of the system's buffers for it")
+                .isLessThanOrEqualTo(PackagedDriver.MEMORY_LIMIT_MB);
+        assertThat(driver.logLines("unexpected error")).isEmpty();
+    }
+
+    /** Plays a crowd beside ordinary clients, which must be served this share of their txns. */
+    private void playCrowd(
+            String scene,
+            boolean readsAnswers,
+            int bytesPerRound,
+            double servedShare,
+            IntFunction<byte[]> text)
+            throws Exception {
+        try (Bystanders bystanders = new Bystanders(driver.port())) {
+            TimeUnit.MILLISECONDS.sleep(WARM_UP_MS);
+            bystanders.reset();
+            try (ClientCrowd crowd =
+                    new ClientCrowd(driver.port(), CROWD_SIZE, readsAnswers, bytesPerRound, text)) {
+                Bystanders.Summary summary = observe(scene, bystanders);
+                assertThat(crowd.connectCount()).isGreaterThanOrEqualTo(CROWD_SIZE);
+                assertNoneLost(summary);
+                assertMemoryLimitKept();
+                assertThat((double) summary.committed() / summary.sent())
+                        .as("served share")
+                        .isGreaterThanOrEqualTo(servedShare);
+            }
+        }
+    }
+
+    /**
+     * Plays a flood by a few clients twice: with nothing kept for good, the second one leaves as
+     * much memory in use as the first.
+     */
+    private void playFlood(
+            String scene, int releaseMs, byte[] greeting, IntFunction<byte[]> messages)
+            throws Exception {
+        long heapAfterFirstKb = floodAndRelease(releaseMs, greeting, messages, 0);
+        long heapAfterSecondKb = floodAndRelease(releaseMs, greeting, messages, 100_000_000);
+        System.out.println(
+                scene
+                        + ": heap in use "
+                        + heapAfterFirstKb
+                        + " kB after one flood, "
+                        + heapAfterSecondKb
+                        + " kB after two, peak memory "
+                        + driver.peakMemoryMb()
+                        + " MB");
+        assertThat(heapAfterSecondKb - heapAfterFirstKb)
+                .as("kB that one more flood leaves in use")
+                .isLessThan(MAX_HEAP_GROWTH_KB);
+        assertMemoryLimitKept();
+    }
+
+    private long floodAndRelease(
+            int releaseMs, byte[] greeting, IntFunction<byte[]> messages, int firstNumber)
+            throws Exception {
+        List<FloodingClient> floods = new ArrayList<>();
+        for (int i = 0; i < FLOODING_CLIENT_COUNT; i++) {
+            int start = firstNumber + i;
+            floods.add(
+                    new FloodingClient(
+                            driver.port(),
+                            greeting,
+                            n -> messages.apply(start + n * FLOODING_CLIENT_COUNT)));
+        }
+        try {
+            long endNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(FLOOD_MS);
+            while (System.nanoTime() < endNanos) {
+                TimeUnit.MILLISECONDS.sleep(SAMPLE_INTERVAL_MS);
+                primary.queries.clear();
+                replica.queries.clear();
+            }
+        } finally {
+            for (FloodingClient flood : floods) {
+                flood.close();
+            }
+        }
+        TimeUnit.MILLISECONDS.sleep(releaseMs);
+        return driver.liveHeapKb();
+    }
+
+    private void playFloodBesideOthers(String scene, byte[] greeting, IntFunction<byte[]> messages)
+            throws Exception {
+        startDriver(null);
+        try (Bystanders bystanders = new Bystanders(driver.port())) {
+            TimeUnit.MILLISECONDS.sleep(WARM_UP_MS);
+            bystanders.reset();
+            try (FloodingClient flood = new FloodingClient(driver.port(), greeting, messages)) {
+                Bystanders.Summary summary = observe(scene, bystanders);
+                System.out.println(scene + ": " + flood);
+                assertNoneLost(summary);
+                assertMemoryLimitKept();
+                assertThat((double) summary.committed() / summary.sent())
+                        .as("served share")
+                        .isGreaterThanOrEqualTo(HEALTHY_SHARE);
+            }
+        }
+    }
+
+    @Test
+    void emptyQueriesAtFullSpeedDelayNobody() throws Exception {
+        playFloodBesideOthers("empty queries", STARTUP_MESSAGE, n -> query(""));
+    }
+
+    @Test
+    void readsUnderNewNamesAtFullSpeedDelayNobody() throws Exception {
+        playFloodBesideOthers(
+                "reads under new names",
+                STARTUP_MESSAGE,
+                n -> query(readStatement("f" + n).replace("'ab'", "'k" + n + "'")));
+    }
+
+    @Test
+    void unsoundStatementsAtFullSpeedDelayNobody() throws Exception {
+        playFloodBesideOthers("unsound statements", STARTUP_MESSAGE, n -> query("SELECT " + n));
+    }
+}
