Router: answered txns are let go, without a list and with long time limits

Cause: held reads lost their answered txns only in the loop that hands reads out, which a group without members never runs; and a check that is scheduled for a txn kept it until it was due, up to the end of the client's time. Ruled out by heap figures of floods with other requests: ids in use, counters, log, groups.

Change: HeldTxns and EventQueue drop answered txns once they outnumber the others. Why it works: the garbage is bounded by what is open. A check of an answered txn did nothing and the order of the rest stays, so decisions are as before.

Both tests were red before.

--- a/src/main/java/wingroad/routing/TxnRouter.java
+++ b/src/main/java/wingroad/routing/TxnRouter.java
@@ -7,7 +7,9 @@
 import static wingroad.state.Durations.toMillis;
 
 import wingroad.state.DecayingSum;
+import wingroad.state.EventQueue;
 import wingroad.state.Group;
+import wingroad.state.HeldTxns;
 import wingroad.state.Member;
 import wingroad.state.Member.Role;
 import wingroad.state.ResponseTimeStatistics;
@@ -28,7 +30,6 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.PriorityQueue;
 import java.util.Random;
 import java.util.function.Consumer;
 
@@ -97,14 +98,6 @@
     /** Largest random cost, which spreads reads over members of nearly the same cost. */
     private static final double COST_JITTER = 0.02;
 
-    /**
-     * A check that is scheduled for a certain time.
-     *
-     * @param sequence orders events that are due at the same time
-     * @param target a {@link ReceivedTxn}, a {@link Group}, or the time of a member list request
-     */
-    private record ScheduledEvent(Duration dueAt, long sequence, Object target) {}
-
     private final Settings settings;
     private final Random random;
     private final Consumer<String> log;
@@ -152,13 +145,9 @@
     /** Groups that need a pass of {@link #processGroup}. */
     private final ArrayDeque<Group> dirtyGroups = new ArrayDeque<>();
 
-    private final PriorityQueue<ScheduledEvent> scheduledEvents =
-            new PriorityQueue<>(
-                    (first, second) ->
-                            first.dueAt.equals(second.dueAt)
-                                    ? Long.compare(first.sequence, second.sequence)
-                                    : first.dueAt.compareTo(second.dueAt));
-    private long nextEventSequence;
+    /** Its targets are a {@link Txn}, a {@link Group}, or the time of a member list request. */
+    private final EventQueue scheduledEvents = new EventQueue();
+
     private boolean memberListIsComplete;
     private final List<Member> listedMembers = new ArrayList<>();
     private int memberListFailureCount;
@@ -550,15 +539,14 @@
             if (!readyDecisions.isEmpty()) {
                 return readyDecisions.poll();
             }
-            ScheduledEvent event = scheduledEvents.peek();
-            if (event != null && event.dueAt.compareTo(now) <= 0) {
-                scheduledEvents.poll();
-                if (event.target instanceof Txn txn) {
+            Object due = scheduledEvents.pollDue(now);
+            if (due != null) {
+                if (due instanceof Txn txn) {
                     checkTxn(txn, now);
-                } else if (event.target instanceof Group group) {
+                } else if (due instanceof Group group) {
                     group.nextPassAt = null;
                     markDirty(group);
-                } else if (event.target == nextMemberListRequestAt) {
+                } else if (due == nextMemberListRequestAt) {
                     scheduleMemberListRequest(
                             now.plus(settings.duration("ask-within").dividedBy(4)));
                     return Decision.followList();
@@ -575,7 +563,7 @@
 
     @Override
     public Duration wakeAt() {
-        return scheduledEvents.isEmpty() ? null : scheduledEvents.peek().dueAt;
+        return scheduledEvents.nextDueAt();
     }
 
     /** Sends what can be sent of a group's held txns and schedules its probes. */
@@ -718,7 +706,7 @@
 
     /** Probes all members of the group when the next round of the writer search is due. */
     private void continueSearch(Group group, Duration now) {
-        group.heldWrites.removeIf(txn -> txn.answered);
+        group.heldWrites.removeAnswered();
         // Without held writes the search is not urgent: after the first round its probes are sent
         // at the steady rate, since those of many drivers add up.
         boolean idle = group.searchRounds > 0 && group.heldWrites.isEmpty();
@@ -1102,7 +1090,7 @@
     private void hold(Txn txn, Duration now) {
         if (!txn.answered && !txn.held) {
             txn.held = true;
-            (txn.type.requiresPrimary() ? txn.group.heldWrites : txn.group.heldReads).add(txn);
+            heldTxns(txn).add(txn);
             markDirty(txn.group);
             if (!txn.submissions.isEmpty()) {
                 scheduleEvent(now, txn);
@@ -1110,6 +1098,11 @@
         }
     }
 
+    /** Where the txn waits while it is held. */
+    private static HeldTxns heldTxns(Txn txn) {
+        return txn.type.requiresPrimary() ? txn.group.heldWrites : txn.group.heldReads;
+    }
+
     /** Ends a txn that is out of time, or retries it where a member has become unresponsive. */
     private void checkTxn(Txn txn, Duration now) {
         if (txn.answered) {
@@ -1162,7 +1155,7 @@
             cancel(submission);
         } else if (txn.outstandingCount() < 2) {
             txn.held = true;
-            (txn.type.requiresPrimary() ? group.heldWrites : group.heldReads).add(txn);
+            heldTxns(txn).add(txn);
             markDirty(group);
         }
     }
@@ -1197,8 +1190,12 @@
 
     private void close(Txn txn) {
         txn.answered = true;
-        txn.held = false;
+        if (txn.held) {
+            txn.held = false;
+            heldTxns(txn).txnAnswered();
+        }
         openTxns.remove(txn.id);
+        scheduledEvents.txnClosed(txn);
     }
 
     /** Time at which a held txn is given up, since an answer would come too late to be useful. */
@@ -1327,6 +1324,6 @@
     }
 
     private void scheduleEvent(Duration dueAt, Object target) {
-        scheduledEvents.add(new ScheduledEvent(dueAt, nextEventSequence++, target));
+        scheduledEvents.add(dueAt, target);
     }
 }
--- a/src/main/java/wingroad/state/Group.java
+++ b/src/main/java/wingroad/state/Group.java
@@ -1,7 +1,6 @@
 package wingroad.state;
 
 import java.time.Duration;
-import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.List;
 
@@ -27,10 +26,10 @@
     public Duration fastProbeUntil = Duration.ZERO;
 
     /** Txns that wait for the primary, in order of arrival. */
-    public final ArrayDeque<Txn> heldWrites = new ArrayDeque<>();
+    public final HeldTxns heldWrites = new HeldTxns();
 
     /** Txns that wait for any suitable member, in order of arrival. */
-    public final ArrayDeque<Txn> heldReads = new ArrayDeque<>();
+    public final HeldTxns heldReads = new HeldTxns();
 
     /** Share of the reads without a fresh replica that may go to the primary, from 0 to 1. */
     public double spillShare;
--- a/src/main/java/wingroad/state/Txn.java
+++ b/src/main/java/wingroad/state/Txn.java
@@ -34,6 +34,9 @@
     /** Whether it waits in one of its group's queues of held txns. */
     public boolean held;
 
+    /** Checks that are scheduled for it and not due yet. */
+    public int scheduledEventCount;
+
     /** Whether it may go to the primary if no replica is fresh enough; null if not decided yet. */
     public Boolean maySpillToPrimary;
 
--- a/src/test/java/wingroad/driver/ClientPressureIT.java
+++ b/src/test/java/wingroad/driver/ClientPressureIT.java
@@ -280,6 +280,28 @@
         return driver.liveHeapKb();
     }
 
+    /** Guards against keeping each declined read of a group that has no members. */
+    @Test
+    void declinedReadsBeforeTheFirstListAreLetGo() throws Exception {
+        startDriverWithoutList();
+        playFlood(
+                "reads without a list",
+                SHORT_RELEASE_MS,
+                STARTUP_MESSAGE,
+                n -> query(readStatement("f" + n).replace("d=3000", "d=1")));
+    }
+
+    /** Guards against keeping committed txns until their clients' time limit is over. */
+    @Test
+    void committedWritesWithLongTimeLimitsAreLetGo() throws Exception {
+        startDriver(null);
+        playFlood(
+                "writes with a time limit of a day",
+                WRITE_RELEASE_MS,
+                STARTUP_MESSAGE,
+                n -> query(writeStatement("f" + n).replace("d=4000", "d=86400000")));
+    }
+
     private void playFloodBesideOthers(String scene, byte[] greeting, IntFunction<byte[]> messages)
             throws Exception {
         startDriver(null);
