Router: the number of sessions whose last write is kept is bounded

Change: at most 32,768 sessions are told apart; older ones share the latest of their times, as those beyond 60 s do already. Reads see at least what they saw before.

--- a/src/main/java/wingroad/state/SessionWrites.java
+++ b/src/main/java/wingroad/state/SessionWrites.java
@@ -13,6 +13,9 @@
     /** Time after which a session's last write is merged with those of other old sessions. */
     private static final Duration RETENTION = Duration.ofSeconds(60);
 
+    /** Bounds the memory; older sessions are merged at once. */
+    static final int MAX_TRACKED_COUNT = 32_768;
+
     /** Commit time of each session's last write, least recently used first. */
     private final Map<Long, Duration> lastWriteBySession = new LinkedHashMap<>(16, 0.75f, true);
 
@@ -38,7 +41,7 @@
     private void forgetOldSessions(Duration now) {
         Iterator<Duration> iterator = lastWriteBySession.values().iterator();
         for (Duration writtenAt = iterator.next();
-                now.minus(writtenAt).compareTo(RETENTION) > 0 && iterator.hasNext();
+                mustForgetOldest(writtenAt, now) && iterator.hasNext();
                 writtenAt = iterator.next()) {
             lastWriteOfForgottenSessions =
                     lastWriteOfForgottenSessions == null
@@ -47,4 +50,9 @@
             iterator.remove();
         }
     }
+
+    private boolean mustForgetOldest(Duration writtenAt, Duration now) {
+        return now.minus(writtenAt).compareTo(RETENTION) > 0
+                || lastWriteBySession.size() > MAX_TRACKED_COUNT;
+    }
 }
