Clients: the groups that may be named before the first list are bounded

Cause: without a list every number passed as a group, and the router keeps a group and runs a writer search for each. Ruled out: the txns, which are let go by now.

Why it works: nothing else made groups of clients' words.

--- a/src/main/java/wingroad/driver/ClientConnection.java
+++ b/src/main/java/wingroad/driver/ClientConnection.java
@@ -298,9 +298,6 @@
         txn = frontend.submit(statement, this);
         submitting = false;
         if (txn == null) {
-            // Guards the txns in progress at the descriptor limit. The client was accepted only to
-            // be declined, since it would wait in the listener's backlog without an answer.
-            frontend.count("client declined for lack of descriptors");
             declined(null);
         }
     }
--- a/src/main/java/wingroad/driver/ClientFrontend.java
+++ b/src/main/java/wingroad/driver/ClientFrontend.java
@@ -18,7 +18,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
-import java.util.function.IntPredicate;
 
 /**
  * Accepts client connections, bounds their number, and hands their txns to the dispatcher with the
@@ -60,7 +59,7 @@
     private final boolean[] readsOwnWrites;
     private final boolean tracksSessions;
     private final Duration longestExpiry;
-    private final IntPredicate isKnownGroup;
+    private final KnownGroups groups;
 
     /** Ordered by the time of their last answer, the least recent first. */
     private final LinkedHashSet<ClientConnection> connections = new LinkedHashSet<>();
@@ -87,12 +86,12 @@
             Counters counters,
             List<String> typeNames,
             Map<String, Object> routerSettings,
-            IntPredicate isKnownGroup) {
+            KnownGroups groups) {
         this.loop = loop;
         this.dispatcher = dispatcher;
         this.counters = counters;
         this.typeNames = typeNames;
-        this.isKnownGroup = isKnownGroup;
+        this.groups = groups;
         this.isUpdateType = new boolean[typeNames.size()];
         this.readsOwnWrites = new boolean[typeNames.size()];
         boolean anyReadsOwnWrites = false;
@@ -253,7 +252,7 @@
         int typeIndex = typeNames.indexOf(statement.txnType());
         return typeIndex < 0
                 ? "unknown c"
-                : !isKnownGroup.test(statement.group())
+                : !groups.mayExist(statement.group())
                         ? "unknown cluster"
                         : statement.write() && !isUpdateType[typeIndex]
                                 ? "a write as a type that reads"
@@ -262,10 +261,17 @@
 
     /**
      * Hands a statement to the dispatcher. Returns the txn's name, or null if it must be declined
-     * at once because descriptors are exhausted.
+     * at once because descriptors or memory are exhausted.
      */
     String submit(Statement statement, ClientConnection connection) {
         if (isOutOfChannels()) {
+            // Guards the txns in progress at the descriptor limit. The client was accepted only to
+            // be declined, since it would wait in the listener's backlog without an answer.
+            counters.count("client declined for lack of descriptors");
+            return null;
+        }
+        if (!groups.admit(statement.group())) {
+            counters.count("client declined for the number of groups without a list");
             return null;
         }
         int typeIndex = typeNames.indexOf(statement.txnType());
--- a/src/main/java/wingroad/driver/Driver.java
+++ b/src/main/java/wingroad/driver/Driver.java
@@ -19,11 +19,9 @@
 import java.net.InetSocketAddress;
 import java.nio.file.Path;
 import java.time.Duration;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
-import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
 import java.util.concurrent.CountDownLatch;
@@ -70,8 +68,7 @@
     private final Clock clock = new Clock();
     private final Counters counters = new Counters();
 
-    /** All groups named in a list so far. */
-    private final Set<Integer> groups = new HashSet<>();
+    private final KnownGroups groups = new KnownGroups();
 
     private final CountDownLatch stopped = new CountDownLatch(1);
     private final Log log;
@@ -181,7 +178,7 @@
                         counters,
                         configuration.names("grades"),
                         routerSettings,
-                        group -> groups.isEmpty() || groups.contains(group));
+                        groups);
         memberPools = new MemberPools(loop, clock, counters, routerSettings, dispatcher);
         discoveryClient =
                 new DiscoveryClient(
@@ -478,7 +475,7 @@
         Router router = dispatcher.router();
         router.memberListStarted(now, list.complete());
         for (MemberList.Entry entry : list.entries()) {
-            groups.add(entry.group());
+            groups.list(entry.group());
             router.memberListed(
                     now,
                     memberPools.updateMember(entry),
--- a/src/test/java/wingroad/driver/ClientFrontendTest.java
+++ b/src/test/java/wingroad/driver/ClientFrontendTest.java
@@ -64,7 +64,7 @@
                     new Counters(),
                     List.of("look", "change"),
                     fixtures.settings,
-                    group -> true);
+                    new KnownGroups());
     private int port;
 
     ClientFrontendTest() throws IOException {
--- a/src/test/java/wingroad/driver/ClientPressureIT.java
+++ b/src/test/java/wingroad/driver/ClientPressureIT.java
@@ -291,6 +291,21 @@
                 n -> query(readStatement("f" + n).replace("d=3000", "d=1")));
     }
 
+    /** Guards against keeping each group that a client names while there is no list. */
+    @Test
+    void groupsNamedBeforeTheFirstListAreBounded() throws Exception {
+        startDriverWithoutList();
+        playFlood(
+                "writes to new groups without a list",
+                SHORT_RELEASE_MS,
+                STARTUP_MESSAGE,
+                n ->
+                        query(
+                                writeStatement("f" + n)
+                                        .replace("d=4000", "d=1")
+                                        .replace("cluster=7", "cluster=" + n)));
+    }
+
     /** Guards against keeping committed txns until their clients' time limit is over. */
     @Test
     void committedWritesWithLongTimeLimitsAreLetGo() throws Exception {
