Clients: unfinished commands give their memory to others' requests and responses

Cause: one bound on buffered bytes, first come, first served; unfinished commands held all of it, and members' responses of more than 1 kB were cut off. Evidence: "no memory for the response" as often as RESET. Ruled out: descriptors, members' limits, CPU.

Change: a quarter of the bound is for responses and lists; the largest unfinished command, or an answer unread for 0.5 s, gives way, never one below 16 kB; statements over 1 kB that find no memory are declined before they are submitted.

Why it works: what holds memory without going on is what is closed, and nothing of an unfinished command was submitted, so that its client may safely try again.

--- a/src/main/java/wingroad/driver/ClientConnection.java
+++ b/src/main/java/wingroad/driver/ClientConnection.java
@@ -39,6 +39,12 @@
      */
     private static final Duration WRITE_TIMEOUT = Duration.ofSeconds(3);
 
+    /**
+     * After how long without any progress an unread answer may be given up if memory is short; a
+     * client that reads makes progress with each round trip.
+     */
+    private static final Duration UNREAD_ANSWER_GRACE = Duration.ofMillis(500);
+
     /** How long a client has to end its side after the output was shut down. */
     private static final Duration LINGER_TIMEOUT = Duration.ofSeconds(1);
 
@@ -291,6 +297,12 @@
             rejectCommand("client " + reason, sqlState, reason, true);
             return;
         }
+        if (!frontend.makeRoomForStatement(text.length)) {
+            // Nothing was submitted, so a retry is safe.
+            frontend.count("client declined for lack of memory");
+            declined(null);
+            return;
+        }
         statementId = statement.id();
         reservedBytes = text.length;
         frontend.reserveBytes(reservedBytes);
@@ -435,6 +447,44 @@
         }
     }
 
+    /**
+     * How much memory would be free if the connection was closed now; 0 if that would lose anything
+     * that is still going on: only a command that has not arrived whole may be given up, or an
+     * answer that the client does not read.
+     */
+    int reclaimableBytes(Duration now) {
+        if (inCommand()) {
+            return connection.inputBufferBytes();
+        }
+        return connection.hasUnsentBytes() && hasElapsed(lastProgressAt, UNREAD_ANSWER_GRACE, now)
+                ? connection.unsentBytes()
+                : 0;
+    }
+
+    /** Since when its command has been unfinished, or else its answer unread. */
+    Duration stalledSince() {
+        return inCommand() ? partialCommandSince : lastProgressAt;
+    }
+
+    /** Ends the connection for its {@link #reclaimableBytes}. */
+    void closeForMemory() {
+        if (inCommand()) {
+            // Nothing of the command was submitted, so a retry is safe.
+            frontend.count("client command given up for its memory");
+            connection.send(
+                    new ClientMessageEncoder()
+                            .errorResponse(
+                                    true,
+                                    ClientMessageEncoder.DECLINED,
+                                    "no memory for this now",
+                                    null)
+                            .toByteBuffer());
+        } else {
+            frontend.count("unread answer given up for its memory");
+        }
+        close();
+    }
+
     private static boolean hasElapsed(Duration start, Duration limit, Duration now) {
         return now.minus(start).compareTo(limit) > 0;
     }
--- a/src/main/java/wingroad/driver/ClientFrontend.java
+++ b/src/main/java/wingroad/driver/ClientFrontend.java
@@ -45,6 +45,9 @@
     /** What a connection's input may buffer beyond the longest message. */
     private static final int BUFFER_MARGIN_BYTES = 1024;
 
+    /** Statements up to this length are accepted even if memory is short. */
+    private static final int SHORT_STATEMENT_BYTES = 1024;
+
     /**
      * When descriptors run out, a connection that has sent no startup message for this long is
      * closed first.
@@ -106,6 +109,7 @@
         }
         this.tracksSessions = anyReadsOwnWrites;
         this.longestExpiry = longestFound;
+        loop.setInputReclaimer(this::reclaimInput);
     }
 
     /** Binds the address and accepts clients at once. */
@@ -245,6 +249,32 @@
         return longestIdle != null;
     }
 
+    /**
+     * Closes the connection that holds the most memory for an unfinished command or an unread
+     * answer, the oldest of several, if that is at least so many bytes; returns false if there is
+     * none. Guards the memory for all others against clients that stop in the middle.
+     */
+    private boolean reclaimInput(int heldBytes) {
+        Duration now = dispatcher.now();
+        ClientConnection victim = null;
+        int victimBytes = heldBytes;
+        for (ClientConnection connection : connections) {
+            int bytes = connection.reclaimableBytes(now);
+            if (bytes > victimBytes
+                    || bytes == victimBytes
+                            && (victim == null
+                                    || connection.stalledSince().compareTo(victim.stalledSince())
+                                            < 0)) {
+                victim = connection;
+                victimBytes = bytes;
+            }
+        }
+        if (victim != null) {
+            victim.closeForMemory();
+        }
+        return victim != null;
+    }
+
     /**
      * Why a statement does not fit this deployment, as the text for the client; null if it does.
      */
@@ -348,6 +378,14 @@
         }
     }
 
+    /**
+     * Makes room for a statement of so many bytes and its copy for a member; returns whether there
+     * is. Short ones are always accepted: their number is bounded by that of the connections.
+     */
+    boolean makeRoomForStatement(int byteCount) {
+        return byteCount <= SHORT_STATEMENT_BYTES || loop.makeRoomForRequest(2 * byteCount);
+    }
+
     /** Counts bytes against the driver's memory limit; a negative count releases them. */
     void reserveBytes(int byteCount) {
         loop.addBufferedBytes(byteCount);
--- a/src/main/java/wingroad/driver/DiscoveryClient.java
+++ b/src/main/java/wingroad/driver/DiscoveryClient.java
@@ -339,6 +339,11 @@
             }
         }
 
+        @Override
+        public boolean isInputEssential() {
+            return true;
+        }
+
         @Override
         public void onInputMemoryExhausted() {
             fail("no memory for the response");
--- a/src/main/java/wingroad/driver/MemberConnection.java
+++ b/src/main/java/wingroad/driver/MemberConnection.java
@@ -318,6 +318,11 @@
                 : written ? AttemptProgress.WRITTEN : AttemptProgress.PARTLY_WRITTEN;
     }
 
+    @Override
+    public boolean isInputEssential() {
+        return true;
+    }
+
     @Override
     public void onInputMemoryExhausted() {
         failProtocol("no memory for the response");
--- a/src/main/java/wingroad/transport/Connection.java
+++ b/src/main/java/wingroad/transport/Connection.java
@@ -46,6 +46,15 @@
             return true;
         }
 
+        /**
+         * Whether others depend on this input, as on a member's response. Where memory is short it
+         * takes the place of any client's unfinished input, and other input only that of larger
+         * one.
+         */
+        default boolean isInputEssential() {
+            return false;
+        }
+
         /** Called once all queued bytes have been written. */
         default void onAllWritten() {}
 
@@ -241,7 +250,7 @@
                 runGuarded(handler::onInputFull);
                 return;
             }
-            if (newSize > INITIAL_BUFFER_BYTES && !loop.canBuffer(newSize - buffer.length)) {
+            if (newSize > INITIAL_BUFFER_BYTES && !makeRoom(newSize)) {
                 runGuarded(handler::onInputMemoryExhausted);
                 return;
             }
@@ -266,6 +275,11 @@
         inChannelCall = false;
     }
 
+    private boolean makeRoom(int newSize) {
+        boolean essential = handler.isInputEssential();
+        return loop.makeRoom(newSize - buffer.length, essential, essential ? 0 : newSize);
+    }
+
     // A completion handler may be invoked within the call that started the operation, so it does
     // not continue directly in that case.
     private final CompletionHandler<Integer, Void> readHandler =
@@ -382,11 +396,25 @@
         return !writeQueue.isEmpty();
     }
 
+    /** How much memory the queued output holds. */
+    public int unsentBytes() {
+        int sum = 0;
+        for (ByteBuffer bytes : writeQueue) {
+            sum += bytes.limit();
+        }
+        return sum;
+    }
+
     /** Whether received bytes have not been consumed yet. */
     public boolean hasUnreadBytes() {
         return unreadStart != unreadEnd;
     }
 
+    /** How much memory its input holds. */
+    public int inputBufferBytes() {
+        return closed ? 0 : buffer.length;
+    }
+
     /** Whether nothing is read since the unread input fills the buffer. */
     public boolean isInputFull() {
         return inputFull && !closed;
--- a/src/main/java/wingroad/transport/EventLoop.java
+++ b/src/main/java/wingroad/transport/EventLoop.java
@@ -14,12 +14,19 @@
  * channels, and so file descriptors, and buffered bytes.
  */
 public final class EventLoop {
+    /** This part of the buffered bytes is reserved for input that others depend on. */
+    private static final long ESSENTIAL_RESERVE_DIVISOR = 4;
+
+    /** Connections that hold less are not closed for their memory: they are about to be done. */
+    private static final int MIN_DISPLACED_BYTES = 16 * 1024;
+
     private final ScheduledThreadPoolExecutor executor;
     private final Consumer<Throwable> onUnexpectedError;
     private final int maxChannels;
     private int openChannels;
     private final long maxBufferedBytes;
     private long bufferedBytes;
+    private InputReclaimer inputReclaimer = heldBytes -> false;
     final AsynchronousChannelGroup group;
 
     /**
@@ -104,8 +111,22 @@
         bufferedBytes += bytes;
     }
 
-    boolean canBuffer(long bytes) {
-        return bufferedBytes + bytes <= maxBufferedBytes;
+    /**
+     * Whether so many bytes may be buffered.
+     *
+     * @param essential whether they may take what is reserved for input that others depend on
+     */
+    boolean canBuffer(long bytes, boolean essential) {
+        long reserved = essential ? 0 : maxBufferedBytes / ESSENTIAL_RESERVE_DIVISOR;
+        return bufferedBytes + bytes <= maxBufferedBytes - reserved;
+    }
+
+    /**
+     * Makes room for a client's request, if need be at the expense of connections that hold as much
+     * for unfinished ones; returns whether it may be kept.
+     */
+    public boolean makeRoomForRequest(int bytes) {
+        return makeRoom(bytes, false, bytes);
     }
 
     /**
@@ -116,6 +137,37 @@
         return bufferedBytes + bytes <= maxBufferedBytes / 2;
     }
 
+    /** Frees memory that connections hold for input; called when there is none left. */
+    public interface InputReclaimer {
+        /**
+         * Closes a connection whose unfinished input holds at least so many bytes; returns whether
+         * there was one.
+         */
+        boolean reclaim(int heldBytes);
+    }
+
+    /** Sets who decides which connection's input gives way to others. */
+    public void setInputReclaimer(InputReclaimer reclaimer) {
+        inputReclaimer = reclaimer;
+    }
+
+    /**
+     * Makes room for more input if need be.
+     *
+     * @param bytes how many more bytes are to be buffered
+     * @param essential whether others depend on them
+     * @param displaceableBytes how much a connection must hold at least to be closed for that
+     * @return whether the bytes may be buffered now
+     */
+    boolean makeRoom(long bytes, boolean essential, int displaceableBytes) {
+        while (!canBuffer(bytes, essential)) {
+            if (!inputReclaimer.reclaim(Math.max(displaceableBytes, MIN_DISPLACED_BYTES))) {
+                return false;
+            }
+        }
+        return true;
+    }
+
     public long bufferedBytes() {
         return bufferedBytes;
     }
--- a/src/test/java/wingroad/driver/ClientFrontendTest.java
+++ b/src/test/java/wingroad/driver/ClientFrontendTest.java
@@ -453,6 +453,36 @@
         assertThat(client.readUntil(READY_FOR_QUERY)).contains("done");
     }
 
+    /**
+     * Guards against declining a client for lack of memory that others hold for commands of which
+     * they never send the rest.
+     */
+    @Test
+    void largestUnfinishedCommandGivesWayToOthers() throws Exception {
+        byte[] largeWrite = query(writeStatement("large").replace("9f03", "5a".repeat(60_000)));
+        Peer small = connectClient().send(Arrays.copyOf(largeWrite, 20_000));
+        Peer large = connectClient().send(Arrays.copyOf(largeWrite, 100_000));
+        awaitOnLoop(() -> loop.bufferedBytes() > 128 * 1024);
+        loop.execute(
+                () -> loop.addBufferedBytes(MEMORY_LIMIT_BYTES * 3L / 4 - loop.bufferedBytes()));
+        Peer client =
+                connectClient()
+                        .send(
+                                query(
+                                        readStatement("r")
+                                                .replace(
+                                                        "k = 'ab'", "k = '" + "k".repeat(200) + "'")
+                                                .replace(
+                                                        "/* id",
+                                                        "/* pad=" + "x".repeat(5000) + ",id")));
+        assertThat(large.readUntilClosed()).contains("53300", "no memory for this now");
+        awaitOnLoop(() -> dispatcher.openTxnCount() == 1);
+        reportPrimary();
+        commit(dispatched.poll(WAIT_TIMEOUT_SECONDS, TimeUnit.SECONDS));
+        assertThat(client.readUntil(READY_FOR_QUERY)).contains("done");
+        small.close();
+    }
+
     /**
      * A client disconnects and retries at once under the same id: the retry is accepted if the
      * first attempt was not sent to a member, and rejected if it may have been.
--- a/src/test/java/wingroad/driver/ClientPressureIT.java
+++ b/src/test/java/wingroad/driver/ClientPressureIT.java
@@ -4,6 +4,7 @@
 
 import static wingroad.Fixtures.STARTUP_MESSAGE;
 import static wingroad.Fixtures.cString;
+import static wingroad.Fixtures.concat;
 import static wingroad.Fixtures.listEntry;
 import static wingroad.Fixtures.message;
 import static wingroad.Fixtures.readStatement;
@@ -27,6 +28,7 @@
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
 import java.util.function.IntFunction;
@@ -228,6 +230,42 @@
         }
     }
 
+    /** Guards against declining and rolling back others' txns for memory that slow writers hold. */
+    @Test
+    void slowWritersLeaveMemoryToOthers() throws Exception {
+        startDriver(null);
+        playCrowd(
+                "slow writers",
+                true,
+                SLOW_WRITE_BYTES,
+                HEALTHY_SHARE,
+                n -> concat(STARTUP_MESSAGE, largeWrite(n)));
+    }
+
+    /** Guards against the same, for clients that stop half way through a large request. */
+    @Test
+    void clientsThatStopInARequestLeaveMemoryToOthers() throws Exception {
+        startDriver(null);
+        playCrowd(
+                "stopped half way",
+                true,
+                UNLIMITED,
+                HEALTHY_SHARE,
+                n -> concat(STARTUP_MESSAGE, Arrays.copyOf(largeWrite(n), 70 * 1024)));
+    }
+
+    /** Guards against failing others' txns beside complete statements that use up the memory. */
+    @Test
+    void statementsOfManyFieldsLeaveMemoryToOthers() throws Exception {
+        startDriver(null);
+        playCrowd(
+                "many fields",
+                true,
+                UNLIMITED,
+                TROUBLED_SHARE,
+                n -> concat(STARTUP_MESSAGE, readWithManyFields(n)));
+    }
+
     /**
      * Plays a flood by a few clients twice: with nothing kept for good, the second one leaves as
      * much memory in use as the first.
