Clients: what the system holds for their connections is bounded

Here its own memory stays at 93 to 96 MB, but the system holds 385 MB for clients that do not read and 88 MB for ones that send much, where all may use 192 MB.

Cause: client connections had the system's own bounds, megabytes each. Ruled out: the process, by its peak of resident memory in all scenes.

Change: the listener bounds both buffers of a client's connection to a quarter of the memory limit over all descriptors (48 kB with 192 MB and 1,024). Why it works: what doesn't fit waits in the driver's queue, which is bounded, or at the client.

Not shown: that anything is killed for these buffers.

--- a/src/main/java/wingroad/driver/ClientFrontend.java
+++ b/src/main/java/wingroad/driver/ClientFrontend.java
@@ -73,6 +73,9 @@
     /** Says where tenants' names are found, or null if tenants are not told apart. */
     private FairQueueSettings fairQueueSettings;
 
+    /** See {@link #limitSystemBuffers}; 0 for the system's default. */
+    private int systemBufferBytes;
+
     private Listener listener;
     private int lastConnectionNumber;
     private boolean closing;
@@ -112,6 +115,14 @@
         loop.setInputReclaimer(this::reclaimInput);
     }
 
+    /**
+     * Bounds what the system may hold of what each client has sent and the driver has not read, and
+     * of what the client has not read; to be called before {@link #bind}.
+     */
+    void limitSystemBuffers(int bytesPerConnection) {
+        systemBufferBytes = bytesPerConnection;
+    }
+
     /** Binds the address and accepts clients at once. */
     void listen(InetSocketAddress address) throws IOException {
         bind(address);
@@ -125,6 +136,7 @@
                         loop,
                         address,
                         ClientMessageDecoder.MAX_MESSAGE_BYTES + BUFFER_MARGIN_BYTES,
+                        systemBufferBytes,
                         this::mayAccept,
                         accepted -> {
                             ClientConnection connection =
--- a/src/main/java/wingroad/driver/Driver.java
+++ b/src/main/java/wingroad/driver/Driver.java
@@ -65,6 +65,14 @@
     /** Connections may buffer this part of the heap at most. */
     private static final long BUFFERED_HEAP_DIVISOR = 4;
 
+    /** The system may hold this part of all memory for what clients have sent, or have to read. */
+    private static final long SYSTEM_BUFFERS_MEMORY_DIVISOR = 4;
+
+    private static final int MIN_SYSTEM_BUFFER_BYTES = 16 * 1024;
+
+    /** Enough for a client's largest request. */
+    private static final int MAX_SYSTEM_BUFFER_BYTES = 256 * 1024;
+
     private final Clock clock = new Clock();
     private final Counters counters = new Counters();
 
@@ -179,6 +187,7 @@
                         configuration.names("grades"),
                         routerSettings,
                         groups);
+        clientFrontend.limitSystemBuffers(systemBufferBytes(configuration));
         memberPools = new MemberPools(loop, clock, counters, routerSettings, dispatcher);
         discoveryClient =
                 new DiscoveryClient(
@@ -211,6 +220,19 @@
         }
     }
 
+    /**
+     * How much the system may hold of what each client has sent, and of what it has not read: for
+     * all connections together a part of the memory limit each, since the system's buffers may
+     * count against it.
+     */
+    private static int systemBufferBytes(Configuration configuration) {
+        long share =
+                configuration.memoryBytes()
+                        / SYSTEM_BUFFERS_MEMORY_DIVISOR
+                        / configuration.descriptorLimit();
+        return (int) Math.max(MIN_SYSTEM_BUFFER_BYTES, Math.min(MAX_SYSTEM_BUFFER_BYTES, share));
+    }
+
     /** Starts serving; returns the exit status: 0 once it serves, 2 if it can't start. */
     public static int run(Map<String, String> env, PrintStream out, PrintStream err) {
         return run(env, out, err, null, null);
--- a/src/main/java/wingroad/fleet/TcpMessageTransport.java
+++ b/src/main/java/wingroad/fleet/TcpMessageTransport.java
@@ -58,6 +58,7 @@
                         loop,
                         address,
                         MAX_MESSAGE_BYTES + LENGTH_PREFIX_BYTES,
+                        0,
                         () -> loop.availableChannels() > 0,
                         accepted -> {
                             ChannelHandler handler = handlerFactory.get();
--- a/src/main/java/wingroad/transport/Connection.java
+++ b/src/main/java/wingroad/transport/Connection.java
@@ -130,6 +130,15 @@
         }
     }
 
+    /** Bounds what the system takes for this connection before the peer has read it. */
+    void limitSendBuffer(int bytes) {
+        try {
+            channel.setOption(StandardSocketOptions.SO_SNDBUF, bytes);
+        } catch (IOException e) {
+            fail("setting socket options failed: " + e.getMessage());
+        }
+    }
+
     /** The peer's IP address without its port; empty if the peer has disconnected. */
     public String remoteHost() {
         try {
--- a/src/main/java/wingroad/transport/Listener.java
+++ b/src/main/java/wingroad/transport/Listener.java
@@ -18,6 +18,9 @@
 public final class Listener {
     private static final int BACKLOG = 1024;
 
+    /** Linux allows twice the size that is asked for, to cover its own overhead. */
+    private static final int SYSTEM_OVERHEAD_FACTOR = 2;
+
     /** The wait after a failed accept is at most 2 to this power, in milliseconds. */
     private static final int MAX_BACKOFF_EXPONENT = 8;
 
@@ -26,6 +29,7 @@
     private final BooleanSupplier canAccept;
     private final Consumer<Function<Connection.Handler, Connection>> onAccepted;
     private final int maxBufferBytes;
+    private final int systemBufferBytes;
     private boolean accepting;
     private boolean closed;
     private int consecutiveFailures;
@@ -33,6 +37,8 @@
     /**
      * Opens the socket.
      *
+     * @param systemBufferBytes how much the system may hold of what each connection has received,
+     *     and of what it sends; 0 for the system's default
      * @param canAccept asked before each accept; after it has returned false, {@link #acceptNext}
      *     resumes
      * @param onAccepted gets each accepted connection, as a function from its handler to the
@@ -42,16 +48,24 @@
             EventLoop loop,
             InetSocketAddress address,
             int maxBufferBytes,
+            int systemBufferBytes,
             BooleanSupplier canAccept,
             Consumer<Function<Connection.Handler, Connection>> onAccepted)
             throws IOException {
         this.loop = loop;
         this.maxBufferBytes = maxBufferBytes;
+        this.systemBufferBytes = systemBufferBytes;
         this.canAccept = canAccept;
         this.onAccepted = onAccepted;
         channel = AsynchronousServerSocketChannel.open(loop.group);
         try {
             channel.setOption(StandardSocketOptions.SO_REUSEADDR, true);
+            if (systemBufferBytes > 0) {
+                // Accepted connections inherit it; their window is bounded from the start.
+                channel.setOption(
+                        StandardSocketOptions.SO_RCVBUF,
+                        systemBufferBytes / SYSTEM_OVERHEAD_FACTOR);
+            }
             channel.bind(address, BACKLOG);
         } catch (IOException | RuntimeException e) {
             channel.close();
@@ -85,13 +99,7 @@
                                 () -> {
                                     accepting = false;
                                     consecutiveFailures = 0;
-                                    onAccepted.accept(
-                                            owner ->
-                                                    Connection.accepted(
-                                                            loop,
-                                                            guestChannel,
-                                                            owner,
-                                                            maxBufferBytes));
+                                    onAccepted.accept(owner -> accepted(guestChannel, owner));
                                     acceptNext();
                                 });
                     }
@@ -116,6 +124,14 @@
                 });
     }
 
+    private Connection accepted(AsynchronousSocketChannel channel, Connection.Handler owner) {
+        Connection connection = Connection.accepted(loop, channel, owner, maxBufferBytes);
+        if (systemBufferBytes > 0) {
+            connection.limitSendBuffer(systemBufferBytes / SYSTEM_OVERHEAD_FACTOR);
+        }
+        return connection;
+    }
+
     public void close() {
         if (!closed) {
             closed = true;
--- a/src/test/java/wingroad/driver/ClientPressureIT.java
+++ b/src/test/java/wingroad/driver/ClientPressureIT.java
@@ -266,6 +266,27 @@
                 n -> concat(STARTUP_MESSAGE, readWithManyFields(n)));
     }
 
+    /**
+     * Guards against handing the system hundreds of megabytes for clients that do not read, and
+     * against failing others' txns for answers that are kept for them.
+     */
+    @Test
+    void unreadAnswersLeaveMemoryToOthers() throws Exception {
+        startDriver(null);
+        playCrowd(
+                "unread answers",
+                false,
+                UNLIMITED,
+                // The crowd's reads overload the members, so that others' share of them is not
+                // known.
+                0,
+                n -> {
+                    byte[][] queries = new byte[40][];
+                    Arrays.setAll(queries, i -> query(readStatement("largeanswer" + n + "-" + i)));
+                    return concat(STARTUP_MESSAGE, concat(queries));
+                });
+    }
+
     /**
      * Plays a flood by a few clients twice: with nothing kept for good, the second one leaves as
      * much memory in use as the first.
