Clients: only the startup parameters that may name a tenant are kept

Change: the startup message is searched for the three parameters that may name a tenant, and nothing else of it is made or kept. Values are cut to 128 characters, as before.

--- a/src/main/java/wingroad/driver/ClientConnection.java
+++ b/src/main/java/wingroad/driver/ClientConnection.java
@@ -8,6 +8,7 @@
 
 import java.nio.ByteBuffer;
 import java.time.Duration;
+import java.util.Map;
 
 /**
  * One client's connection. Its commands are processed one after the other, each once the previous
@@ -88,8 +89,8 @@
     private boolean started;
     private boolean hasQueried;
 
-    /** The parameters of its startup message. */
-    private byte[] startupParameters;
+    /** The parameters of its startup message that may name its tenant. */
+    private Map<String, String> tenantParameters;
 
     /** Null if tenants are not told apart, or have not been since its last txn. */
     private ClientContext clientContext;
@@ -219,7 +220,7 @@
         switch (message.kind()) {
             case STARTUP, STARTUP_NEWER_MINOR -> {
                 started = true;
-                startupParameters = message.body();
+                tenantParameters = ClientFrontend.tenantParameters(message.body());
                 send(
                         new ClientMessageEncoder()
                                 .startupComplete(
@@ -497,7 +498,7 @@
     /** Identifies the client to the fair queues; null if tenants are not told apart. */
     ClientContext clientContext() {
         if (clientContext == null) {
-            clientContext = frontend.clientContext(connection.remoteHost(), startupParameters);
+            clientContext = frontend.clientContext(connection.remoteHost(), tenantParameters);
         }
         return clientContext;
     }
--- a/src/main/java/wingroad/driver/ClientFrontend.java
+++ b/src/main/java/wingroad/driver/ClientFrontend.java
@@ -161,19 +161,18 @@
         fairQueueSettings = settings;
     }
 
+    /** Those parameters of a startup message that may name a tenant. */
+    static Map<String, String> tenantParameters(byte[] startupBody) {
+        return ClientMessageDecoder.startupParameters(
+                startupBody, TENANT_PARAMETERS, MAX_NAME_CHARS);
+    }
+
     /**
-     * The address and those startup parameters of a client that may name its tenant; null if
-     * tenants are not told apart.
+     * Identifies a client by its address and the startup parameters that may name its tenant; null
+     * if tenants are not told apart.
      */
-    ClientContext clientContext(String address, byte[] startup) {
-        if (fairQueueSettings == null) {
-            return null;
-        }
-        Map<String, String> parameters = ClientMessageDecoder.parseStartupParameters(startup);
-        parameters.keySet().retainAll(TENANT_PARAMETERS);
-        parameters.replaceAll(
-                (name, value) -> value.substring(0, Math.min(value.length(), MAX_NAME_CHARS)));
-        return new ClientContext(address, parameters);
+    ClientContext clientContext(String address, Map<String, String> tenantParameters) {
+        return fairQueueSettings == null ? null : new ClientContext(address, tenantParameters);
     }
 
     /** The tenant's name for this txn, or null if the client's address is used instead. */
--- a/src/main/java/wingroad/protocol/ClientMessageDecoder.java
+++ b/src/main/java/wingroad/protocol/ClientMessageDecoder.java
@@ -6,6 +6,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.Set;
 
 /** Decodes the messages that a client sends in PostgreSQL's protocol from a byte stream. */
 public final class ClientMessageDecoder {
@@ -96,16 +97,48 @@
                 null);
     }
 
-    /** Parses the parameters of a startup message; a truncated one at the end is ignored. */
-    public static Map<String, String> parseStartupParameters(byte[] startupBody) {
+    /**
+     * The values of some parameters of a startup message, each the first of its name. The others
+     * cost no memory: a message may have thousands.
+     *
+     * @param maxValueChars longer values are cut to this length
+     */
+    public static Map<String, String> startupParameters(
+            byte[] startupBody, Set<String> names, int maxValueChars) {
         Map<String, String> parameters = new HashMap<>();
-        String[] fields = new String(startupBody, StandardCharsets.UTF_8).split("\0", -1);
-        for (int i = 0; i + 1 < fields.length && !fields[i].isEmpty(); i += 2) {
-            parameters.putIfAbsent(fields[i], fields[i + 1]);
+        int nameStart = 0;
+        while (nameStart < startupBody.length && startupBody[nameStart] != 0) {
+            int nameEnd = terminatorIndex(startupBody, nameStart);
+            if (nameEnd == startupBody.length) {
+                break;
+            }
+            int valueEnd = terminatorIndex(startupBody, nameEnd + 1);
+            for (String name : names) {
+                if (name.length() == nameEnd - nameStart
+                        && name.equals(text(startupBody, nameStart, nameEnd))) {
+                    String value = text(startupBody, nameEnd + 1, valueEnd);
+                    parameters.putIfAbsent(
+                            name, value.substring(0, Math.min(value.length(), maxValueChars)));
+                }
+            }
+            nameStart = valueEnd + 1;
         }
         return parameters;
     }
 
+    /** The index of the next zero byte, or the length if there is none. */
+    private static int terminatorIndex(byte[] bytes, int from) {
+        int index = from;
+        while (index < bytes.length && bytes[index] != 0) {
+            index++;
+        }
+        return index;
+    }
+
+    private static String text(byte[] bytes, int from, int to) {
+        return new String(bytes, from, to - from, StandardCharsets.UTF_8);
+    }
+
     private static Message decodeMessage(ByteBuffer in) {
         // Checks the type before the length is complete, so that garbage is rejected at its first
         // byte.
--- a/src/test/java/wingroad/driver/ClientPressureIT.java
+++ b/src/test/java/wingroad/driver/ClientPressureIT.java
@@ -266,6 +266,19 @@
                 n -> concat(STARTUP_MESSAGE, readWithManyFields(n)));
     }
 
+    /** Guards against keeping all parameters of a startup message for each connection. */
+    @Test
+    void startupMessagesOfManyFieldsKeepTheMemoryLimit() throws Exception {
+        startDriver(FAIR_QUEUES);
+        playCrowd(
+                "many startup fields, fair queues",
+                true,
+                UNLIMITED,
+                // The crowd comes from the same address, so the fair queues give it its share.
+                0,
+                n -> concat(startupWithManyFields(), query(readStatement("s" + n))));
+    }
+
     /**
      * Guards against handing the system hundreds of megabytes for clients that do not read, and
      * against failing others' txns for answers that are kept for them.
--- a/src/test/java/wingroad/protocol/ClientMessageDecoderTest.java
+++ b/src/test/java/wingroad/protocol/ClientMessageDecoderTest.java
@@ -18,6 +18,8 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
+import java.util.Set;
 
 class ClientMessageDecoderTest {
 
@@ -104,4 +106,25 @@
                     .containsExactly(Kind.STARTUP, Kind.MALFORMED);
         }
     }
+
+    /** Guards against keeping thousands of startup parameters for each connection. */
+    @Test
+    void keepsOnlyTheStartupParametersThatAreAskedFor() {
+        String body = "user\0svc\0x\0y\0database\0main\0user\0second\0long\0abcdef\0\0after\0z\0";
+        assertThat(
+                        ClientMessageDecoder.startupParameters(
+                                body.getBytes(StandardCharsets.UTF_8),
+                                Set.of("user", "long", "after", "absent"),
+                                4))
+                .isEqualTo(Map.of("user", "svc", "long", "abcd"));
+        assertThat(
+                        ClientMessageDecoder.startupParameters(
+                                "user\0svc".getBytes(StandardCharsets.UTF_8), Set.of("user"), 9))
+                .as("without its end")
+                .isEqualTo(Map.of("user", "svc"));
+        assertThat(
+                        ClientMessageDecoder.startupParameters(
+                                "user".getBytes(StandardCharsets.UTF_8), Set.of("user"), 9))
+                .isEmpty();
+    }
 }
