--- a/src/test/java/wingroad/driver/ClientFrontendTest.java
+++ b/src/test/java/wingroad/driver/ClientFrontendTest.java
@@ -453,6 +453,21 @@
         assertThat(client.readUntil(READY_FOR_QUERY)).contains("done");
     }
 
+    /**
+     * Guards against queries without end behind a rejected message, which are skipped to a Sync.
+     */
+    @Test
+    void clientWithTooManySkippedQueriesIsDisconnected() throws Exception {
+        Peer client = connectClient();
+        client.send(message('P', new byte[10]));
+        for (int i = 0; i < 300; i++) {
+            client.send(query("skipped"));
+        }
+        assertThat(new String(client.readToEnd(), StandardCharsets.ISO_8859_1))
+                .contains("too much that is no query");
+        client.close();
+    }
+
     /**
      * Guards against declining a client for lack of memory that others hold for commands of which
      * they never send the rest.
