Clients: one that leaves during the delay of an error is found out

Cause: an unsound statement leaves what follows unread for up to 0.64 s; with more than is read ahead, the client's end isn't read either, and the notices that find out such an end were sent only while a txn was open. Ruled out: ends behind open txns.

Change: the notices are sent during the delay, too. Why it works: the system of a client that has gone answers the first notice with a reset, so that the next one fails, within some 50 ms; what is buffered is then dropped.

--- a/src/main/java/wingroad/driver/ClientConnection.java
+++ b/src/main/java/wingroad/driver/ClientConnection.java
@@ -167,19 +167,24 @@
 
     @Override
     public void onInputFull() {
-        if (txn != null && !presenceCheckScheduled) {
+        if (leavesInputUnread() && !presenceCheckScheduled) {
             presenceCheckScheduled = true;
             frontend.after(PRESENCE_CHECK_INTERVAL, this::checkPresence);
         }
     }
 
+    /** Whether the next command stays unread until the txn is answered or the delay is over. */
+    private boolean leavesInputUnread() {
+        return txn != null || delayed;
+    }
+
     /**
      * Sends a notice to a client that has sent more ahead than is read, so that its end behind that
      * can't be read: writing to a client that has gone fails.
      */
     private void checkPresence() {
         presenceCheckScheduled = false;
-        if (txn == null || !connection.isInputFull()) {
+        if (!leavesInputUnread() || !connection.isInputFull()) {
             return;
         }
         if (!connection.hasUnsentBytes()) {
--- a/src/test/java/wingroad/driver/DepartedClientIT.java
+++ b/src/test/java/wingroad/driver/DepartedClientIT.java
@@ -136,6 +136,27 @@
         sender.join(300);
     }
 
+    /** Guards against a write that begins for a client that left during the delay of an error. */
+    @Test
+    void closeBehindRejectedCommands() throws Exception {
+        warmUp();
+        TestClient client = new TestClient(driver.port()).sendStartup();
+        client.readResponses();
+        List<byte[]> parts = new ArrayList<>();
+        for (int n = 0; n < 7; n++) {
+            parts.add(query("unsound"));
+        }
+        for (int n = 0; n < 4; n++) {
+            parts.add(largeWrite("late" + n));
+        }
+        sendAll(client, parts.toArray(byte[][]::new));
+        for (int n = 0; n < 7; n++) {
+            assertThat(client.readResponses()).containsExactly("error 08P01");
+        }
+        client.close();
+        assertThat(begunLate(System.currentTimeMillis())).isEmpty();
+    }
+
     /** Guards against working off what a client sent ahead before it left. */
     @Test
     void closeBehindPipelinedWrites() throws Exception {
@@ -168,4 +189,31 @@
         client.close();
         assertThat(begunLate(System.currentTimeMillis())).isEmpty();
     }
+
+    /** Guards against running a left client's copy of an id that has come again meanwhile. */
+    @Test
+    void idComesAgainWhileItsFirstCopyIsUnread() throws Exception {
+        warmUp();
+        TestClient client = new TestClient(driver.port()).sendStartup();
+        client.readResponses();
+        List<byte[]> parts = new ArrayList<>();
+        for (int n = 0; n < 7; n++) {
+            parts.add(query("unsound"));
+        }
+        parts.add(query(writeStatement("same").replace("d=4000", "d=300")));
+        for (int n = 0; n < 4; n++) {
+            parts.add(largeWrite("late" + n));
+        }
+        sendAll(client, parts.toArray(byte[][]::new));
+        for (int n = 0; n < 7; n++) {
+            assertThat(client.readResponses()).containsExactly("error 08P01");
+        }
+        client.close();
+        TestClient again = new TestClient(driver.port()).sendStartup();
+        again.readResponses();
+        assertThat(again.query(writeStatement("same").replace("d=4000", "d=300")).readResponses())
+                .containsExactly("row v");
+        TimeUnit.MILLISECONDS.sleep(WATCH_MS);
+        assertThat(begun.stream().filter(b -> b.id().equals("same")).count()).isEqualTo(1);
+    }
 }
