Clients: the id of a write that may have run is kept after its time

Cause: an id was in use only for its client's time, from its arrival. Ruled out: the module, which never sees clients' ids, and the release of ids that no member has seen.

Why it works: within that time the repeat is refused as an id in use, whichever connection it uses.

--- a/src/main/java/wingroad/driver/ClientConnection.java
+++ b/src/main/java/wingroad/driver/ClientConnection.java
@@ -98,8 +98,8 @@
     /** The dispatcher's name of the txn that waits for its final answer, or null. */
     private String txn;
 
-    /** The id of the txn's statement. */
-    private String statementId;
+    /** The txn's statement, or null. */
+    private Statement statement;
 
     /** A txn is being submitted to the dispatcher and has no name yet. */
     private boolean submitting;
@@ -296,10 +296,9 @@
         Statement.Parsed parsed = Statement.parse(text);
         String reason = parsed.error();
         String sqlState = ClientMessageEncoder.PROTOCOL_VIOLATION;
-        Statement statement = parsed.statement();
-        if (statement != null) {
+        if (parsed.statement() != null) {
             sqlState = ClientMessageEncoder.UNDEFINED_OBJECT;
-            reason = frontend.rejectionReason(statement);
+            reason = frontend.rejectionReason(parsed.statement());
         }
         if (reason != null) {
             rejectCommand("client " + reason, sqlState, reason, true);
@@ -311,7 +310,7 @@
             declined(null);
             return;
         }
-        statementId = statement.id();
+        statement = parsed.statement();
         reservedBytes = text.length;
         frontend.reserveBytes(reservedBytes);
         submitting = true;
@@ -356,6 +355,7 @@
 
     @Override
     public void committed(byte[] row) {
+        frontend.mayHaveRun(statement);
         txnEnded();
         connection.send(ClientMessageEncoder.rowResponse(row));
     }
@@ -374,6 +374,7 @@
 
     @Override
     public void rolledBack() {
+        frontend.mayHaveRun(statement);
         frontend.count("ROLLED BACK");
         sendFinalAnswer(
                 new ClientMessageEncoder()
@@ -388,6 +389,7 @@
 
     private void txnEnded() {
         txn = null;
+        statement = null;
         lastProgressAt = frontend.now();
         frontend.reserveBytes(-reservedBytes);
         reservedBytes = 0;
@@ -537,7 +539,7 @@
     @Override
     public void onClosed(int unwritten, boolean orderly, String reason) {
         if (txn != null) {
-            frontend.abandon(txn, statementId);
+            frontend.abandon(txn, statement);
             txnEnded();
         }
         frontend.connectionClosed(this);
--- a/src/main/java/wingroad/driver/ClientFrontend.java
+++ b/src/main/java/wingroad/driver/ClientFrontend.java
@@ -1,7 +1,5 @@
 package wingroad.driver;
 
-import static wingroad.state.Durations.min;
-
 import wingroad.door.ClientContext;
 import wingroad.door.FairQueueSettings;
 import wingroad.protocol.ClientMessageDecoder;
@@ -13,7 +11,6 @@
 import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
@@ -67,8 +64,7 @@
     /** Ordered by the time of their last answer, the least recent first. */
     private final LinkedHashSet<ClientConnection> connections = new LinkedHashSet<>();
 
-    /** The ids of statements with the time at which each may be used again; rejects duplicates. */
-    private final Map<String, Duration> idsInUse = new HashMap<>();
+    private final StatementIds statementIds;
 
     /** Says where tenants' names are found, or null if tenants are not told apart. */
     private FairQueueSettings fairQueueSettings;
@@ -112,6 +108,7 @@
         }
         this.tracksSessions = anyReadsOwnWrites;
         this.longestExpiry = longestFound;
+        this.statementIds = new StatementIds(longestFound);
         loop.setInputReclaimer(this::reclaimInput);
     }
 
@@ -196,7 +193,7 @@
         for (ClientConnection connection : new ArrayList<>(connections)) {
             connection.checkTimeouts(now);
         }
-        idsInUse.values().removeIf(expiresAt -> expiresAt.compareTo(now) <= 0);
+        statementIds.expire(now);
         loop.schedule(TIMEOUT_CHECK_INTERVAL, this::checkTimeouts);
     }
 
@@ -297,7 +294,7 @@
                         ? "unknown cluster"
                         : statement.write() && !isUpdateType[typeIndex]
                                 ? "a write as a type that reads"
-                                : idsInUse.containsKey(statement.id()) ? "an id in use" : null;
+                                : statementIds.isInUse(statement.id()) ? "an id in use" : null;
     }
 
     /**
@@ -315,12 +312,13 @@
             counters.count("client declined for the number of groups without a list");
             return null;
         }
+        if (statementIds.isFull()) {
+            counters.count("client declined for the number of ids");
+            return null;
+        }
         int typeIndex = typeNames.indexOf(statement.txnType());
-        idsInUse.put(
-                statement.id(),
-                dispatcher
-                        .now()
-                        .plus(min(Duration.ofMillis(statement.timeLeftMs()), longestExpiry)));
+        statementIds.use(
+                statement.id(), Duration.ofMillis(statement.timeLeftMs()), dispatcher.now());
         long sessionId =
                 tracksSessions && (isUpdateType[typeIndex] || readsOwnWrites[typeIndex])
                         ? statement.keyHash()
@@ -338,11 +336,23 @@
     }
 
     /** Drops the txn of a client that has disconnected. */
-    void abandon(String txn, String statementId) {
+    void abandon(String txn, Statement statement) {
         counters.count("client disconnected before its answer");
         if (dispatcher.abandon(txn)) {
             // No member has seen it, so the client may send it again at once under the same id.
-            idsInUse.remove(statementId);
+            statementIds.release(statement.id());
+        } else {
+            mayHaveRun(statement);
+        }
+    }
+
+    /**
+     * Keeps the id of a write that may have taken effect. Guards against running it twice for a
+     * client that has left without its answer and comes again.
+     */
+    void mayHaveRun(Statement statement) {
+        if (statement.write()) {
+            statementIds.mayHaveRun(statement.id(), dispatcher.now());
         }
     }
 
--- a/src/test/java/wingroad/driver/DepartedClientIT.java
+++ b/src/test/java/wingroad/driver/DepartedClientIT.java
@@ -190,6 +190,26 @@
         assertThat(begunLate(System.currentTimeMillis())).isEmpty();
     }
 
+    /**
+     * Guards against running an id again that ran for a client that left, once its time is over.
+     */
+    @Test
+    void idComesAgainAfterItsTime() throws Exception {
+        warmUp();
+        memberDelayMs = 100;
+        TestClient client = new TestClient(driver.port()).sendStartup();
+        client.readResponses();
+        client.query(writeStatement("same").replace("d=4000", "d=300"));
+        TimeUnit.MILLISECONDS.sleep(50);
+        client.close();
+        TimeUnit.MILLISECONDS.sleep(500);
+        TestClient again = new TestClient(driver.port()).sendStartup();
+        again.readResponses();
+        assertThat(again.query(writeStatement("same")).readResponses())
+                .containsExactly("error 42704");
+        assertThat(begun.stream().filter(b -> b.id().equals("same")).count()).isEqualTo(1);
+    }
+
     /** Guards against running a left client's copy of an id that has come again meanwhile. */
     @Test
     void idComesAgainWhileItsFirstCopyIsUnread() throws Exception {
