MemberPoolsTest: a copy and the answer behind it are sent in one write

Traced: the driver closes the connection as soon as it has read the first message of the second copy, as it must; the test's member went on with further writes on it. The whole scene is now one write, which is also what the comment describes: bytes that the member's system held back and sends at once. All checks are as they were.

--- a/src/test/java/wingroad/driver/MemberPoolsTest.java
+++ b/src/test/java/wingroad/driver/MemberPoolsTest.java
@@ -322,8 +322,9 @@
             assertThat(awaitCompletion().outcome()).isEqualTo(Outcome.COMMITTED);
             dispatchToMovingMember();
             connection.read(1);
-            sendResponse(connection);
-            connection.send(EMPTY_QUERY_RESPONSE, READY_FOR_QUERY);
+            // In one write: the driver closes the connection as soon as it has read any of the
+            // copy.
+            connection.send(concat(rowResponse("x"), EMPTY_QUERY_RESPONSE, READY_FOR_QUERY));
             // Nothing of the request was sent; its client is served on another connection.
             assertThat(awaitCompletion().outcome()).isEqualTo(Outcome.MOOT);
             dispatchToMovingMember();
@@ -807,7 +808,11 @@
     }
 
     private static void sendRow(Peer connection, String value) throws IOException {
-        connection.send(
+        connection.send(rowResponse(value));
+    }
+
+    private static byte[] rowResponse(String value) {
+        return concat(
                 message('T', ROW_DESCRIPTION),
                 message('D', dataRowBody(value)),
                 message('C', cString("SELECT 1")),
