--- a/src/test/java/wingroad/driver/MemberPoolsTest.java
+++ b/src/test/java/wingroad/driver/MemberPoolsTest.java
@@ -6,6 +6,7 @@
 import static wingroad.Fixtures.READY_FOR_QUERY;
 import static wingroad.Fixtures.ROW_DESCRIPTION;
 import static wingroad.Fixtures.cString;
+import static wingroad.Fixtures.concat;
 import static wingroad.Fixtures.dataRowBody;
 import static wingroad.Fixtures.listEntry;
 import static wingroad.Fixtures.message;
