Chores: a committed turn that a stopped owner will not begin is told as such

Cause: an owner that is told to stop gives up the request for a turn that is under way; it is committed all the same, and the leave behind it ends the duty with the outcome unknown. Ruled out: a busy machine as the cause (it widens the window) and statements that were cut off (those are waited for).

Change: the owner waits up to 250 ms for what it had asked for and tells "not begun: the owner stopped acting"; it never starts such a turn. Why it works: the outcome is sent behind the request and before the leave, to the same voter.

--- a/src/main/java/wingroad/fleet/ChoreScheduler.java
+++ b/src/main/java/wingroad/fleet/ChoreScheduler.java
@@ -24,6 +24,15 @@
     /** Start of the name of a pending request to commit the outcome of a run. */
     private static final String OUTCOME_REQUEST_PREFIX = "told ";
 
+    /** Outcome of a run that was committed after the driver had stopped acting. */
+    private static final String NOT_BEGUN = "not begun: the owner stopped acting";
+
+    /**
+     * How long it may take until it is known whether the request for a run was committed, and that
+     * the run was not begun; a few round trips to the leader.
+     */
+    private static final Duration ABANDONED_RUN_TIMEOUT = Duration.ofMillis(250);
+
     /** A chore's progress at this driver. */
     private static final class ChoreState {
         final Chore chore;
@@ -38,6 +47,12 @@
         /** The last run whose statement was started. */
         long startedRun;
 
+        /** A run that was requested and will never be started here, or 0. */
+        long abandonedRun;
+
+        /** Until when the outcome of that run is waited for. */
+        Duration abandonedUntil = Duration.ZERO;
+
         /** Whether a statement is running. */
         boolean running;
 
@@ -72,7 +87,13 @@
     @Override
     public boolean isBusy(String duty) {
         ChoreState state = choreStates.get(duty);
-        return state != null && (state.running || context.now().compareTo(state.mayRunUntil) < 0);
+        if (state == null) {
+            return false;
+        }
+        Duration now = context.now();
+        return state.running
+                || now.compareTo(state.mayRunUntil) < 0
+                || state.abandonedRun > 0 && now.compareTo(state.abandonedUntil) < 0;
     }
 
     @Override
@@ -105,10 +126,11 @@
             driverSession.cancelRequest(outcomeRequest);
         }
         if (!sessionLease.mayAct(dutyState.duty(), dutyState.epoch(), now)) {
-            driverSession.cancelRequest(RUN_REQUEST_PREFIX + dutyState.duty());
-            state.requestedRun = 0;
+            abandonRequestedRun(state, dutyState, now);
+            reportAbandonedRun(state, dutyState, sessionLease);
             return;
         }
+        reportAbandonedRun(state, dutyState, sessionLease);
         if (state.requestedRun > 0
                 && state.requestedEpoch == dutyState.epoch()
                 && dutyState.run() == state.requestedRun
@@ -137,6 +159,45 @@
         }
     }
 
+    /**
+     * Gives up a run that was requested and not started. Its request may be committed all the same:
+     * it was sent before.
+     */
+    private void abandonRequestedRun(
+            ChoreState state, SessionLease.DutyState dutyState, Duration now) {
+        driverSession.cancelRequest(RUN_REQUEST_PREFIX + dutyState.duty());
+        if (state.requestedRun > state.startedRun && state.requestedEpoch == dutyState.epoch()) {
+            state.abandonedRun = state.requestedRun;
+            state.abandonedUntil = now.plus(ABANDONED_RUN_TIMEOUT);
+            // It must not be started if the driver may act again: its outcome is told.
+            state.startedRun = state.requestedRun;
+        }
+        state.requestedRun = 0;
+    }
+
+    /** Tells that an abandoned run was not begun, once it is known to have been committed. */
+    private void reportAbandonedRun(
+            ChoreState state, SessionLease.DutyState dutyState, SessionLease sessionLease) {
+        if (state.abandonedRun == 0 || dutyState.run() < state.abandonedRun) {
+            return;
+        }
+        if (dutyState.run() == state.abandonedRun
+                && dutyState.epoch() == state.requestedEpoch
+                && dutyState.owner().equals(sessionLease.sessionId())
+                && dutyState.outcome().isEmpty()) {
+            driverSession.request(
+                    OUTCOME_REQUEST_PREFIX + dutyState.duty(),
+                    Command.reportRunOutcome(
+                            sessionLease.sessionId(),
+                            dutyState.duty(),
+                            dutyState.epoch(),
+                            state.abandonedRun,
+                            NOT_BEGUN));
+        } else {
+            state.abandonedRun = 0;
+        }
+    }
+
     private void startRun(
             ChoreState state, SessionLease.DutyState dutyState, SessionLease sessionLease) {
         state.startedRun = state.requestedRun;
--- a/src/main/java/wingroad/fleet/DriverSession.java
+++ b/src/main/java/wingroad/fleet/DriverSession.java
@@ -221,6 +221,7 @@
     void stopActing() {
         stoppedActing = true;
         sessionLease.markEnded();
+        dutyHandler.checkDuties();
         notifyPlanListener();
     }
 
--- a/src/test/java/wingroad/fleet/SimFleet.java
+++ b/src/test/java/wingroad/fleet/SimFleet.java
@@ -787,9 +787,44 @@
         }
     }
 
+    /** Returns the newest run of each duty by the state of the most advanced voter. */
+    Map<String, Long> committedRuns() {
+        Map<String, Long> runByDuty = new TreeMap<>();
+        ConsensusNode mostAdvanced = mostAdvancedVoter();
+        if (mostAdvanced != null) {
+            mostAdvanced
+                    .stateMachine()
+                    .duties()
+                    .forEach(duty -> runByDuty.put(duty.name(), duty.run()));
+        }
+        return runByDuty;
+    }
+
+    /** Returns the history lines of all duties by the state of the most advanced voter. */
+    List<String> dutyHistory() {
+        ConsensusNode mostAdvanced = mostAdvancedVoter();
+        List<String> lines = new ArrayList<>();
+        if (mostAdvanced != null) {
+            mostAdvanced.stateMachine().duties().forEach(duty -> lines.addAll(duty.history()));
+        }
+        return lines;
+    }
+
     /** Returns the owner of each duty by the state of the most advanced running voter. */
     Map<String, String> dutyOwners() {
         Map<String, String> ownerByDuty = new TreeMap<>();
+        ConsensusNode mostAdvanced = mostAdvancedVoter();
+        if (mostAdvanced != null) {
+            mostAdvanced
+                    .stateMachine()
+                    .duties()
+                    .forEach(duty -> ownerByDuty.put(duty.name(), duty.owner()));
+        }
+        return ownerByDuty;
+    }
+
+    /** The running voter whose state has the highest revision, or null if none runs. */
+    private ConsensusNode mostAdvancedVoter() {
         ConsensusNode mostAdvanced = null;
         for (SimulatedProcess process : processes.values()) {
             if (process.alive
@@ -800,13 +835,7 @@
                 mostAdvanced = process.consensusNode;
             }
         }
-        if (mostAdvanced != null) {
-            mostAdvanced
-                    .stateMachine()
-                    .duties()
-                    .forEach(duty -> ownerByDuty.put(duty.name(), duty.owner()));
-        }
-        return ownerByDuty;
+        return mostAdvanced;
     }
 
     /**
--- a/src/test/java/wingroad/fleet/SimFleetTest.java
+++ b/src/test/java/wingroad/fleet/SimFleetTest.java
@@ -9,6 +9,7 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.stream.IntStream;
 
@@ -163,6 +164,72 @@
         }
     }
 
+    /**
+     * Guards against a planned stop that leaves it open whether a turn has run: its commitment was
+     * under way as the owner was told to stop, and it is never begun.
+     */
+    @Test
+    void plannedStopTellsThatACommittedTurnWasNotBegun() {
+        List<String> openTurns = new ArrayList<>();
+        int unbegunTurns = 0;
+        int undisturbedStops = 0;
+        for (int seed = 0; seed < 80; seed++) {
+            SimFleet fleet = new SimFleet(seed, 4, 3, 3, InjectedBug.NONE);
+            fleet.processes.values().forEach(SimFleet.SimulatedProcess::start);
+            fleet.advance(10_000);
+            SimFleet.SimulatedProcess leaver = ownerOfNextCommittedTurn(fleet);
+            leaver.runAt(
+                    fleet.nowNanos,
+                    () -> {
+                        leaver.driverSession.stopActing();
+                        leaveOnceIdle(leaver);
+                    });
+            fleet.advance(1500);
+            assertThat(fleet.violations).isEmpty();
+            if (fleet.faultCount > 0) {
+                // A process was paused by its chore: what it had sent may be known too late.
+                continue;
+            }
+            undisturbedStops++;
+            for (String line : fleet.dutyHistory()) {
+                if (line.contains(leaver.name + " has it no more")
+                        && line.contains(": left")
+                        && line.contains("has run or not")) {
+                    openTurns.add("seed " + seed + ": " + line);
+                }
+                unbegunTurns += line.endsWith("not begun: the owner stopped acting") ? 1 : 0;
+            }
+        }
+        assertThat(openTurns).isEmpty();
+        assertThat(undisturbedStops).isGreaterThan(10);
+        assertThat(unbegunTurns).as("the case occurred").isPositive();
+    }
+
+    /** Steps until a voter has committed the next turn of a duty; returns the duty's owner. */
+    private static SimFleet.SimulatedProcess ownerOfNextCommittedTurn(SimFleet fleet) {
+        Map<String, Long> runs = fleet.committedRuns();
+        for (int ms = 0; ms < 20_000; ms++) {
+            fleet.advance(1);
+            for (Map.Entry<String, Long> run : fleet.committedRuns().entrySet()) {
+                String owner = fleet.dutyOwners().get(run.getKey());
+                if (run.getValue() > runs.getOrDefault(run.getKey(), 0L) && !owner.isEmpty()) {
+                    return fleet.processes.get(owner.substring(0, owner.indexOf('/')));
+                }
+            }
+            runs = fleet.committedRuns();
+        }
+        throw new AssertionError("no turn was committed");
+    }
+
+    /** Leaves as the program does: once nothing runs under a duty any more. */
+    private static void leaveOnceIdle(SimFleet.SimulatedProcess process) {
+        if (process.driverSession.isBusy()) {
+            process.schedule(Duration.ofMillis(20), () -> leaveOnceIdle(process));
+        } else {
+            process.driverSession.leave(() -> {});
+        }
+    }
+
     private static List<String> runVoteAndRestart(int seed, InjectedBug injectedBug) {
         SimFleet fleet = new SimFleet(seed, 5, 3, 2, injectedBug);
         fleet.runVoteAndRestart();
