Clients: ones that have only started up no longer keep all descriptors

Cause: where no descriptor is free, connections that had started up without a query were never closed before their idle timeout. Ruled out: accepting itself.

Change: such a connection is closed after 500 ms of silence before any that has queried, after 100 ms where there is no other; it is looked for every 100 ms.

Why it works: the silent ones are what holds the descriptors, and each batch of them now holds them for a tenth of a second.

--- a/src/main/java/wingroad/driver/ClientConnection.java
+++ b/src/main/java/wingroad/driver/ClientConnection.java
@@ -550,6 +550,14 @@
                 || !started && hasElapsed(connectedAt, silentLimit, now);
     }
 
+    /** Whether it has started up, and has sent nothing of a query for so long. */
+    boolean isSilentSinceStartup(Duration now, Duration silence) {
+        return started
+                && !hasQueried
+                && !connection.hasUnreadBytes()
+                && hasElapsed(lastProgressAt, silence, now);
+    }
+
     void close() {
         connection.close();
         onClosed(0, false, null);
--- a/src/main/java/wingroad/driver/ClientFrontend.java
+++ b/src/main/java/wingroad/driver/ClientFrontend.java
@@ -57,6 +57,15 @@
      */
     private static final Duration SILENT_CLIENT_GRACE = Duration.ofMillis(50);
 
+    /**
+     * When descriptors run out, a connection that has sent no query for this long after its startup
+     * is closed before any that has.
+     */
+    private static final Duration LONG_SILENCE = Duration.ofMillis(500);
+
+    /** The same for one that is closed only if there is no other. */
+    private static final Duration SHORT_SILENCE = Duration.ofMillis(100);
+
     private final EventLoop loop;
     private final TxnDispatcher dispatcher;
     private final Counters counters;
@@ -200,6 +209,8 @@
             connection.checkTimeouts(now);
         }
         statementIds.expire(now);
+        // A connection may have become expendable by the time alone.
+        listener.acceptNext();
         loop.schedule(TIMEOUT_CHECK_INTERVAL, this::checkTimeouts);
     }
 
@@ -235,32 +246,61 @@
     }
 
     /**
-     * Closes a dispensable connection, or else the longest idle one; returns false if there is
-     * none. A connection that was started but has not queried yet is kept, since its first query
-     * may be on the way.
+     * Closes the connection that is missed least: a dispensable one, one that has been silent since
+     * its startup for long, the longest idle one between two queries or, where there is none, one
+     * that has been silent since its startup for a while. Returns false if there is none of these.
+     * The first query of a connection that has just started up may be on the way.
      */
     boolean closeIdleConnection() {
         Duration now = dispatcher.now();
-        ClientConnection longestIdle = null;
+        ClientConnection victim = null;
+        Expendability least = Expendability.KEPT;
         for (ClientConnection connection : connections) {
-            if (connection.isDispensable(now, SILENT_CLIENT_GRACE)) {
-                counters.count("unused client connection closed to free a descriptor");
-                connection.close();
-                return true;
+            Expendability expendability = expendability(connection, now);
+            if (expendability.compareTo(least) < 0) {
+                victim = connection;
+                least = expendability;
             }
-            longestIdle =
-                    (longestIdle == null || longestIdle.inCommand())
-                                    && connection.hasQueried()
-                                    && !connection.busy()
-                                    && !(longestIdle != null && connection.inCommand())
-                            ? connection
-                            : longestIdle;
         }
-        if (longestIdle != null) {
-            counters.count("idle client connection closed to free a descriptor");
-            longestIdle.close();
+        if (victim != null) {
+            counters.count(least.counter);
+            victim.close();
+        }
+        return victim != null;
+    }
+
+    /** How soon a connection is closed to free a descriptor; the first ones go first. */
+    private enum Expendability {
+        DISPENSABLE("unused client connection closed to free a descriptor"),
+        LONG_SILENT("silent client connection closed to free a descriptor"),
+        IDLE("idle client connection closed to free a descriptor"),
+        IDLE_IN_COMMAND("idle client connection closed to free a descriptor"),
+        SILENT("silent client connection closed to free a descriptor"),
+        KEPT("");
+
+        final String counter;
+
+        Expendability(String counter) {
+            this.counter = counter;
+        }
+    }
+
+    private static Expendability expendability(ClientConnection connection, Duration now) {
+        if (connection.isDispensable(now, SILENT_CLIENT_GRACE)) {
+            return Expendability.DISPENSABLE;
+        }
+        if (connection.busy()) {
+            return Expendability.KEPT;
+        }
+        if (connection.hasQueried()) {
+            return connection.inCommand() ? Expendability.IDLE_IN_COMMAND : Expendability.IDLE;
+        }
+        if (connection.isSilentSinceStartup(now, LONG_SILENCE)) {
+            return Expendability.LONG_SILENT;
         }
-        return longestIdle != null;
+        return connection.isSilentSinceStartup(now, SHORT_SILENCE)
+                ? Expendability.SILENT
+                : Expendability.KEPT;
     }
 
     /**
--- a/src/test/java/wingroad/driver/DriverIT.java
+++ b/src/test/java/wingroad/driver/DriverIT.java
@@ -765,6 +765,41 @@
         assertThat(clientWithoutQuery.query("").readResponses()).containsExactly("empty");
     }
 
+    /**
+     * Guards against clients that have only started up and keep the descriptors: requests would
+     * wait unread in the system's queue until their time is over.
+     */
+    @Test
+    void atDescriptorLimitSilentClientsKeepNoRequestWaiting() throws Exception {
+        startAndConnect(LOW_DESCRIPTOR_LIMIT);
+        List<TestClient> silentClients = new ArrayList<>();
+        for (int i = 0; i < 150; i++) {
+            silentClients.add(new TestClient(driverPort).sendStartup());
+        }
+        for (int i = 0; i < 5; i++) {
+            long startNanos = System.nanoTime();
+            TestClient client =
+                    new TestClient(driverPort)
+                            .send(
+                                    Fixtures.STARTUP_MESSAGE,
+                                    message(
+                                            'Q',
+                                            cString(
+                                                    readStatement("r" + i)
+                                                            .replace("d=3000", "d=1200"))));
+            client.readResponses();
+            assertThat(client.readResponses().get(0))
+                    .isIn("row from replica", "row from primary", "error 53300", "end");
+            // The time that the client gives, half a second in which an answer only earns nothing,
+            // and the slack on sockets.
+            assertThat(System.nanoTime() - startNanos).isLessThan(1_750_000_000L);
+            client.close();
+        }
+        for (TestClient silentClient : silentClients) {
+            silentClient.close();
+        }
+    }
+
     @Test
     void longestIdleClientsAreClosedAboveIdleLimit() throws Exception {
         startAndConnect(LOW_DESCRIPTOR_LIMIT);
