--- a/src/test/java/wingroad/Fixtures.java
+++ b/src/test/java/wingroad/Fixtures.java
@@ -13,6 +13,7 @@
 import java.io.IOException;
 import java.io.InputStreamReader;
 import java.net.InetAddress;
+import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.net.SocketException;
@@ -439,8 +440,11 @@
         private final DataInputStream in;
 
         public TestClient(int port) throws IOException {
-            socket = new Socket(InetAddress.getLoopbackAddress(), port);
-            socket.setSoTimeout((int) TimeUnit.SECONDS.toMillis(TIMEOUT_S));
+            int timeoutMs = (int) TimeUnit.SECONDS.toMillis(TIMEOUT_S);
+            socket = new Socket();
+            socket.connect(
+                    new InetSocketAddress(InetAddress.getLoopbackAddress(), port), timeoutMs);
+            socket.setSoTimeout(timeoutMs);
             in = new DataInputStream(socket.getInputStream());
         }
 
--- a/src/test/java/wingroad/rig/Bystanders.java
+++ b/src/test/java/wingroad/rig/Bystanders.java
@@ -106,7 +106,9 @@
     /** The connection, or a new one; one that is shut before its first request is no answer. */
     private TestClient connectedClient(TestClient current) {
         TestClient client = current;
-        for (int attempt = 0; client == null && attempt < MAX_CONNECT_ATTEMPTS; attempt++) {
+        for (int attempt = 0;
+                client == null && !closed && attempt < MAX_CONNECT_ATTEMPTS;
+                attempt++) {
             try {
                 TestClient connecting = new TestClient(port);
                 client = connecting.sendStartup().readResponses().isEmpty() ? connecting : null;
@@ -187,8 +189,10 @@
     @Override
     public void close() throws InterruptedException {
         closed = true;
+        long deadlineNanos = System.nanoTime() + TimeUnit.SECONDS.toNanos(STOP_TIMEOUT_S);
         for (Thread thread : threads) {
-            thread.join(TimeUnit.SECONDS.toMillis(STOP_TIMEOUT_S));
+            long leftMs = TimeUnit.NANOSECONDS.toMillis(deadlineNanos - System.nanoTime());
+            thread.join(Math.max(1, leftMs));
         }
     }
 }
