Log: why each client connection ends, what had no answer, refusals and retries

The logs of the incident could not tell which requests shared a connection, who ended it and why, and what was unanswered then. Now a line tells of each end of a client connection with its reason and the ids of what has no whole answer, of each refusal with its id and time, of each further submission, and of each step of a stop. No other behaviour changes.

--- a/src/main/java/wingroad/driver/ClientConnection.java
+++ b/src/main/java/wingroad/driver/ClientConnection.java
@@ -8,6 +8,8 @@
 
 import java.nio.ByteBuffer;
 import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Map;
 
 /**
@@ -83,6 +85,9 @@
     /** When it last sent an answer, made progress in writing, or began to finish. */
     private Duration lastProgressAt;
 
+    /** When its last query was read. */
+    private Duration lastArrivalAt = Duration.ZERO;
+
     /** Since when a part of a command has been waiting for the rest; null if none is. */
     private Duration partialCommandSince;
 
@@ -126,6 +131,9 @@
 
     private int discardedBytes;
 
+    /** The log has told why the connection ends. */
+    private boolean endLogged;
+
     /** The client's presence will be checked. */
     private boolean presenceCheckScheduled;
 
@@ -273,11 +281,14 @@
             case IGNORED -> skipMessage();
             case MALFORMED -> {
                 frontend.count("client " + message.reason());
-                sendFatalError(ClientMessageEncoder.PROTOCOL_VIOLATION, message.reason());
+                sendFatalError(
+                        ConnectionEnd.MALFORMED_INPUT,
+                        ClientMessageEncoder.PROTOCOL_VIOLATION,
+                        message.reason());
             }
             default -> {
                 finishing = true;
-                close();
+                close(ConnectionEnd.CLIENT_TERMINATED);
             }
         }
     }
@@ -286,12 +297,16 @@
     private void skipMessage() {
         if (++skippedMessageCount > MAX_SKIPPED_MESSAGE_COUNT) {
             frontend.count("client sent too many ignored messages");
-            sendFatalError(ClientMessageEncoder.PROTOCOL_VIOLATION, "too much that is no query");
+            sendFatalError(
+                    ConnectionEnd.TOO_MANY_IGNORED,
+                    ClientMessageEncoder.PROTOCOL_VIOLATION,
+                    "too much that is no query");
         }
     }
 
     private void handleQuery(byte[] text) {
         hasQueried = true;
+        lastArrivalAt = frontend.now();
         skippedMessageCount = 0;
         if (isBlank(text)) {
             send(new ClientMessageEncoder().emptyQueryResponse());
@@ -352,8 +367,11 @@
      */
     private void rejectCommand(String counter, String sqlState, String text, boolean withReady) {
         frontend.count(counter);
+        frontend.log(
+                RequestLog.Kind.REFUSAL,
+                () -> "client " + connectionNumber + ": command rejected: " + text);
         if (++rejectedCommandCount >= MAX_REJECTED_COMMAND_COUNT) {
-            sendFatalError(sqlState, text);
+            sendFatalError(ConnectionEnd.TOO_MANY_REJECTED, sqlState, text);
             return;
         }
         delayed = true;
@@ -387,6 +405,7 @@
     @Override
     public void declined(Duration retryAfter) {
         frontend.count("DECLINED");
+        logRefusal("declined");
         String retryAfterMs =
                 retryAfter == null ? null : Long.toString(Math.max(1, retryAfter.toMillis()));
         sendFinalAnswer(
@@ -400,12 +419,30 @@
     public void rolledBack() {
         frontend.mayHaveRun(statement);
         frontend.count("ROLLED BACK");
+        logRefusal("rolled back");
         sendFinalAnswer(
                 new ClientMessageEncoder()
                         .errorResponse(false, ClientMessageEncoder.ROLLED_BACK, "rolled back", null)
                         .readyForQuery());
     }
 
+    private void logRefusal(String answer) {
+        Statement refused = statement;
+        Duration sinceArrival = frontend.now().minus(lastArrivalAt);
+        frontend.log(
+                RequestLog.Kind.REFUSAL,
+                () ->
+                        "client "
+                                + connectionNumber
+                                + ": "
+                                + (refused == null ? "a statement" : refused.id())
+                                + " "
+                                + answer
+                                + " after "
+                                + sinceArrival.toMillis()
+                                + " ms");
+    }
+
     private void sendFinalAnswer(ClientMessageEncoder output) {
         txnEnded();
         send(output);
@@ -438,19 +475,20 @@
         } else if (txn == null && hasQueried) {
             frontend.becameIdle(this);
             if (frontend.closing()) {
-                finish();
+                finish(ConnectionEnd.STOP);
             }
         }
     }
 
     /** Sends a fatal error and finishes the connection. */
-    private void sendFatalError(String sqlState, String text) {
+    private void sendFatalError(ConnectionEnd end, String sqlState, String text) {
         send(new ClientMessageEncoder().errorResponse(true, sqlState, text, null));
-        finish();
+        finish(end);
     }
 
     /** Processes no more commands; the output is shut down after the last answer. */
-    void finish() {
+    void finish(ConnectionEnd end) {
+        logEnd(end, null);
         finishing = true;
         lastProgressAt = frontend.now();
         connection.shutdownOutput();
@@ -468,20 +506,26 @@
         if (connection.hasUnsentBytes()
                 ? hasElapsed(lastProgressAt, WRITE_TIMEOUT, now)
                 : finishing && hasElapsed(lastProgressAt, LINGER_TIMEOUT, now)) {
-            close();
+            close(finishing ? ConnectionEnd.LINGER_TIMEOUT : ConnectionEnd.UNREAD_ANSWER_TIMEOUT);
         } else if (finishing || busy() || delayed) {
             return;
         } else if (!started && hasElapsed(connectedAt, STARTUP_TIMEOUT, now)) {
             frontend.count("client startup timed out");
-            sendFatalError(ClientMessageEncoder.PROTOCOL_VIOLATION, "no startup message in time");
+            sendFatalError(
+                    ConnectionEnd.STARTUP_TIMEOUT,
+                    ClientMessageEncoder.PROTOCOL_VIOLATION,
+                    "no startup message in time");
         } else if (partialCommandSince != null
                 && hasElapsed(partialCommandSince, COMMAND_TIMEOUT, now)) {
             frontend.count("client command timed out");
-            sendFatalError(ClientMessageEncoder.PROTOCOL_VIOLATION, "no whole command in time");
+            sendFatalError(
+                    ConnectionEnd.COMMAND_TIMEOUT,
+                    ClientMessageEncoder.PROTOCOL_VIOLATION,
+                    "no whole command in time");
         } else if (partialCommandSince == null
                 && hasElapsed(lastProgressAt, IDLE_TIMEOUT, now)
                 && !frontend.mayStayIdle()) {
-            finish();
+            finish(ConnectionEnd.IDLE_TIMEOUT);
         }
     }
 
@@ -506,6 +550,8 @@
 
     /** Ends the connection for its {@link #reclaimableBytes}. */
     void closeForMemory() {
+        ConnectionEnd end =
+                inCommand() ? ConnectionEnd.MEMORY_OF_COMMAND : ConnectionEnd.MEMORY_OF_ANSWER;
         if (inCommand()) {
             // Nothing of the command was submitted, so a retry is safe.
             frontend.count("client command given up for its memory");
@@ -520,7 +566,7 @@
         } else if (connection.hasUnsentBytes()) {
             frontend.count("unread answer given up for its memory");
         }
-        close();
+        close(end);
     }
 
     private static boolean hasElapsed(Duration start, Duration limit, Duration now) {
@@ -558,9 +604,10 @@
                 && hasElapsed(lastProgressAt, silence, now);
     }
 
-    void close() {
+    void close(ConnectionEnd end) {
+        logEnd(end, null);
         connection.close();
-        onClosed(0, false, null);
+        closed();
     }
 
     @Override
@@ -568,12 +615,61 @@
         if (txn == null && !finishing) {
             // Nothing was submitted, so a retry is safe.
             frontend.count("client declined for lack of memory");
-            sendFatalError(ClientMessageEncoder.DECLINED, "no memory for this now");
+            sendFatalError(
+                    ConnectionEnd.INPUT_MEMORY,
+                    ClientMessageEncoder.DECLINED,
+                    "no memory for this now");
         }
     }
 
     @Override
     public void onClosed(int unwritten, boolean orderly, String reason) {
+        logEnd(orderly ? ConnectionEnd.CLIENT_CLOSED : ConnectionEnd.CONNECTION_FAILED, reason);
+        closed();
+    }
+
+    /** Logs why the connection ends, once, with the commands that have no whole answer. */
+    private void logEnd(ConnectionEnd end, String detail) {
+        if (endLogged) {
+            return;
+        }
+        endLogged = true;
+        List<String> unanswered = unansweredCommands();
+        frontend.log(
+                unanswered.isEmpty() ? RequestLog.Kind.CLOSE : RequestLog.Kind.UNANSWERED,
+                () ->
+                        "client "
+                                + connectionNumber
+                                + " ends: "
+                                + end.description()
+                                + (detail == null ? "" : " (" + detail + ")")
+                                + (unanswered.isEmpty()
+                                        ? ""
+                                        : ", without an answer: " + unanswered));
+    }
+
+    /** What the log calls the commands that were read and have no whole answer, in order. */
+    private List<String> unansweredCommands() {
+        List<String> commands = new ArrayList<>();
+        if (statement != null) {
+            commands.add(statement.id());
+        }
+        if (queuedText != null) {
+            commands.add("a large statement");
+        }
+        if (connection != null && connection.hasUnsentBytes()) {
+            commands.add(0, connection.unsentBytes() + " bytes of answers");
+        }
+        if (connection != null && started) {
+            int waiting = ClientMessageDecoder.countQueries(connection.unreadInput());
+            if (waiting > 0) {
+                commands.add(waiting + " commands sent ahead");
+            }
+        }
+        return commands;
+    }
+
+    private void closed() {
         if (txn != null) {
             frontend.abandon(txn, statement);
             txnEnded();
--- a/src/main/java/wingroad/driver/ClientFrontend.java
+++ b/src/main/java/wingroad/driver/ClientFrontend.java
@@ -15,6 +15,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.Supplier;
 
 /**
  * Accepts client connections, bounds their number, and hands their txns to the dispatcher with the
@@ -158,7 +159,7 @@
                             connection.begin(accepted.apply(connection));
                             if (allFinished) {
                                 // Accepted while all other connections were being finished.
-                                connection.finish();
+                                connection.finish(ConnectionEnd.STOP);
                             }
                         });
     }
@@ -264,7 +265,7 @@
         }
         if (victim != null) {
             counters.count(least.counter);
-            victim.close();
+            victim.close(ConnectionEnd.DESCRIPTORS);
         }
         return victim != null;
     }
@@ -434,7 +435,7 @@
         }
         if (longestIdle != null && queriedCount > loop.maxChannels() / CLIENT_CHANNELS_DIVISOR) {
             counters.count("idle client connection closed over the limit");
-            longestIdle.finish();
+            longestIdle.finish(ConnectionEnd.IDLE_LIMIT);
         }
     }
 
@@ -468,6 +469,11 @@
         counters.count(name);
     }
 
+    /** Logs an event of a client connection, see {@link RequestLog}. */
+    void log(RequestLog.Kind kind, Supplier<String> text) {
+        dispatcher.requestLog().write(kind, dispatcher.now(), text);
+    }
+
     boolean closing() {
         return closing;
     }
@@ -493,7 +499,7 @@
         closing = true;
         for (ClientConnection connection : new ArrayList<>(connections)) {
             if (connection.hasQueried() && !connection.busy() && !connection.inCommand()) {
-                connection.finish();
+                connection.finish(ConnectionEnd.STOP);
             }
         }
     }
@@ -513,7 +519,7 @@
         allFinished = true;
         for (ClientConnection connection : new ArrayList<>(connections)) {
             if (!connection.finishing()) {
-                connection.finish();
+                connection.finish(ConnectionEnd.STOP);
             }
         }
     }
--- /dev/null
+++ b/src/main/java/wingroad/driver/ConnectionEnd.java
@@ -0,0 +1,32 @@
+package wingroad.driver;
+
+/** Why a client connection ends; the description is what the log says. */
+enum ConnectionEnd {
+    CLIENT_CLOSED("closed by the client"),
+    CONNECTION_FAILED("the connection failed"),
+    CLIENT_TERMINATED("the client sent Terminate or a cancel request"),
+    MALFORMED_INPUT("malformed input"),
+    TOO_MANY_IGNORED("too many ignored messages"),
+    TOO_MANY_REJECTED("too many rejected commands"),
+    STARTUP_TIMEOUT("no startup message in time"),
+    COMMAND_TIMEOUT("no whole command in time"),
+    IDLE_TIMEOUT("idle timeout"),
+    UNREAD_ANSWER_TIMEOUT("the client reads nothing"),
+    LINGER_TIMEOUT("the client did not end its side in time"),
+    IDLE_LIMIT("idle, and over the limit of client connections"),
+    DESCRIPTORS("idle, and its descriptor is needed"),
+    MEMORY_OF_COMMAND("the memory of its unfinished command is needed"),
+    MEMORY_OF_ANSWER("the memory of its unread answer is needed"),
+    INPUT_MEMORY("no memory for its input"),
+    STOP("the process is stopping");
+
+    private final String description;
+
+    ConnectionEnd(String description) {
+        this.description = description;
+    }
+
+    String description() {
+        return description;
+    }
+}
--- a/src/main/java/wingroad/driver/Driver.java
+++ b/src/main/java/wingroad/driver/Driver.java
@@ -135,6 +135,9 @@
     /** The fleet has not confirmed yet that this driver has left. */
     private boolean leavingFleet;
 
+    /** No more clients are accepted. */
+    private boolean listenerClosed;
+
     /** All client connections have been finished. */
     private boolean clientsFinished;
 
@@ -179,6 +182,7 @@
                         router,
                         (Duration) routerSettings.get("connect-time-out"),
                         log::error);
+        dispatcher.setRequestLog(new RequestLog(log::info));
         clientFrontend =
                 new ClientFrontend(
                         loop,
@@ -623,14 +627,14 @@
                                         .plus(ACCEPT_AFTER_STOP)
                                         .minus(KILL_MARGIN);
                         dispatcher.setAnswerDeadline(exitDeadline.minus(MIN_CLIENT_CLOSE_TIME));
+                        dispatcher.requestLog().setStopping();
                         clientFrontend.keepIdleConnections();
                         if (fleetAgent != null) {
                             leavingFleet = true;
                             fleetAgent.leave(() -> loop.execute(this::leftFleet));
                         }
                         loop.schedule(
-                                serveTime.plus(ACCEPT_AFTER_STOP.dividedBy(2)),
-                                clientFrontend::beginClosing);
+                                serveTime.plus(ACCEPT_AFTER_STOP.dividedBy(2)), this::beginClosing);
                         exitWhenDone();
                     });
         }
@@ -642,6 +646,24 @@
         }
     }
 
+    private void beginClosing() {
+        logStopPhase("connections end once they are between two txns");
+        clientFrontend.beginClosing();
+    }
+
+    /** Logs a step of the shutdown with what is open then. */
+    private void logStopPhase(String step) {
+        log.info(
+                "stop, "
+                        + clock.now().minus(stopRequestedAt).toMillis()
+                        + " ms: "
+                        + step
+                        + "; client connections "
+                        + clientFrontend.connectionCount()
+                        + ", open txns "
+                        + dispatcher.openTxnCount());
+    }
+
     private void leftFleet() {
         leavingFleet = false;
         log.info("fleet: left after " + clock.now().minus(stopRequestedAt).toMillis() + " ms");
@@ -651,7 +673,9 @@
     private void exitWhenDone() {
         Duration now = clock.now();
         boolean acceptOver = now.minus(stopRequestedAt).compareTo(ACCEPT_AFTER_STOP) >= 0;
-        if (acceptOver) {
+        if (acceptOver && !listenerClosed) {
+            listenerClosed = true;
+            logStopPhase("no more clients are accepted");
             clientFrontend.stopListening();
         }
         boolean deadlineNear = now.compareTo(exitDeadline.minus(MIN_CLIENT_CLOSE_TIME)) > 0;
@@ -661,6 +685,7 @@
                 && dispatcher.openTxnCount() == 0
                 && (clientFrontend.isIdle() || deadlineNear)) {
             clientsFinished = true;
+            logStopPhase("all connections end");
             clientFrontend.finishAll();
         }
         if (clientsFinished
--- a/src/main/java/wingroad/driver/TxnDispatcher.java
+++ b/src/main/java/wingroad/driver/TxnDispatcher.java
@@ -186,6 +186,8 @@
     /** Null if nothing observes. */
     private Observer observer;
 
+    private RequestLog requestLog = RequestLog.disabled();
+
     private MemberTransport memberTransport;
     private MemberListSource memberListSource;
 
@@ -238,6 +240,15 @@
         }
     }
 
+    /** Logs what happens to single requests here from now on. */
+    void setRequestLog(RequestLog newRequestLog) {
+        requestLog = newRequestLog;
+    }
+
+    RequestLog requestLog() {
+        return requestLog;
+    }
+
     void setObserver(Observer newObserver) {
         observer = newObserver;
     }
@@ -596,6 +607,21 @@
         return openTxn;
     }
 
+    private void logRetry(OpenTxn openTxn, Decision decision, Duration now) {
+        requestLog.write(
+                RequestLog.Kind.RETRY,
+                now,
+                () ->
+                        openTxn.statement.id()
+                                + " goes to member "
+                                + decision.member()
+                                + " as submission "
+                                + decision.submission()
+                                + ", "
+                                + now.minus(openTxn.arrivedAt).toMillis()
+                                + " ms after its arrival");
+    }
+
     private void execute(Decision decision, Duration now) {
         switch (decision.kind()) {
             case SUBMIT -> {
@@ -620,6 +646,9 @@
                     if (openTxn.queuedTxn != null) {
                         fairQueues.onSubmitted(now, openTxn.queuedTxn);
                     }
+                    if (openTxn.dispatched) {
+                        logRetry(openTxn, decision, now);
+                    }
                     openTxn.dispatched = true;
                     Duration lastMoment =
                             answerDeadline == null
--- a/src/main/java/wingroad/protocol/ClientMessageDecoder.java
+++ b/src/main/java/wingroad/protocol/ClientMessageDecoder.java
@@ -105,6 +105,17 @@
                 null);
     }
 
+    /** How many whole queries stand in input that follows the startup message. */
+    public static int countQueries(ByteBuffer in) {
+        int count = 0;
+        for (Frame frame = FrameDecoder.next(in, MAX_MESSAGE_BYTES);
+                frame != null && frame.error() == null;
+                frame = FrameDecoder.next(in, MAX_MESSAGE_BYTES)) {
+            count += frame.type() == 'Q' ? 1 : 0;
+        }
+        return count;
+    }
+
     /**
      * The values of some parameters of a startup message, each the first of its name. The others
      * cost no memory: a message may have thousands.
--- a/src/main/java/wingroad/transport/Connection.java
+++ b/src/main/java/wingroad/transport/Connection.java
@@ -98,7 +98,10 @@
     private int unreadEnd;
     private boolean reading;
     private boolean inChannelCall;
-    private boolean delivering;
+
+    /** The unread input while the handler is consuming it, or null. */
+    private ByteBuffer delivered;
+
     private final ArrayDeque<ByteBuffer> writeQueue = new ArrayDeque<>();
     private boolean writing;
     private long writtenBytes;
@@ -228,14 +231,14 @@
     }
 
     private void deliver() {
-        if (closed || delivering || unreadStart == unreadEnd) {
+        if (closed || delivered != null || unreadStart == unreadEnd) {
             return;
         }
-        delivering = true;
         ByteBuffer in = ByteBuffer.wrap(buffer, unreadStart, unreadEnd - unreadStart);
+        delivered = in;
         runGuarded(() -> handler.onBytes(in));
         unreadStart = in.position();
-        delivering = false;
+        delivered = null;
     }
 
     private void read() {
@@ -428,6 +431,13 @@
         return unreadStart != unreadEnd;
     }
 
+    /** A read-only view of the received bytes that have not been consumed yet. */
+    public ByteBuffer unreadInput() {
+        return delivered != null
+                ? delivered.asReadOnlyBuffer()
+                : ByteBuffer.wrap(buffer, unreadStart, unreadEnd - unreadStart).asReadOnlyBuffer();
+    }
+
     /** How much memory its input holds. */
     public int inputBufferBytes() {
         return closed ? 0 : buffer.length;
--- a/src/test/java/wingroad/protocol/ClientMessageDecoderTest.java
+++ b/src/test/java/wingroad/protocol/ClientMessageDecoderTest.java
@@ -17,6 +17,7 @@
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -136,4 +137,11 @@
                                 "user".getBytes(StandardCharsets.UTF_8), Set.of("user"), 9))
                 .isEmpty();
     }
+
+    @Test
+    void wholeQueriesAreCountedUpToThePartialOne() {
+        byte[] query = message('Q', cString("SELECT 1"));
+        byte[] input = concat(query, message('S'), query, Arrays.copyOf(query, 8));
+        assertThat(ClientMessageDecoder.countQueries(ByteBuffer.wrap(input))).isEqualTo(2);
+    }
 }
