Clients: an error while a command is handled or answered gives the client an error

Callers would see: where the making of an answer threw, no answer and an open connection; where an OutOfMemoryError came at a txn's arrival, the txn stayed open in part; where an accepted connection could not be set up, silence. Cause: the txn was closed before its callback ran, errors that are no RuntimeException passed by, and an accepted channel had no owner yet. Change: the step is guarded where its command is known, and the client gets XX000; an accepted channel that can't be handed over is closed unread.

--- a/src/main/java/wingroad/driver/ClientConnection.java
+++ b/src/main/java/wingroad/driver/ClientConnection.java
@@ -122,6 +122,9 @@
     /** A txn is being submitted to the dispatcher and has no name yet. */
     private boolean submitting;
 
+    /** The command that was read last has no answer yet. */
+    private boolean answerOwed;
+
     /** The size of the txn's statement, counted against the driver's memory limit. */
     private int reservedBytes;
 
@@ -266,7 +269,36 @@
                 return;
             }
             partialCommandSince = null;
-            handle(message);
+            runAnswering(() -> handle(message));
+        }
+    }
+
+    /** Runs a step in the handling of a command; if it fails, the client gets an error. */
+    private void runAnswering(Runnable step) {
+        try {
+            step.run();
+        } catch (RuntimeException | StackOverflowError | OutOfMemoryError error) {
+            frontend.reportUnexpectedError(error);
+            if (txn == null) {
+                answerFailed();
+            }
+        }
+    }
+
+    /** Answers the command that was read last with an error, unless it has its answer. */
+    @Override
+    public void answerFailed() {
+        if (answerOwed) {
+            queuedText = null;
+            submitting = false;
+            sendFinalAnswer(
+                    new ClientMessageEncoder()
+                            .errorResponse(
+                                    false,
+                                    ClientMessageEncoder.INTERNAL_ERROR,
+                                    "internal error",
+                                    null)
+                            .readyForQuery());
         }
     }
 
@@ -367,6 +399,7 @@
     private void handleQuery(byte[] text) {
         hasQueried = true;
         lastArrivalAt = frontend.now();
+        answerOwed = true;
         skippedMessageCount = 0;
         if (isBlank(text)) {
             send(new ClientMessageEncoder().emptyQueryResponse());
@@ -400,7 +433,7 @@
             if (declinesCommands()) {
                 declined(null);
             } else {
-                handleStatement(text);
+                runAnswering(() -> handleStatement(text));
             }
             connection.redeliver();
         }
@@ -471,8 +504,10 @@
     @Override
     public void committed(byte[] row) {
         frontend.mayHaveRun(statement);
+        ByteBuffer response = ClientMessageEncoder.rowResponse(row);
         txnEnded();
-        connection.send(ClientMessageEncoder.rowResponse(row));
+        answerOwed = false;
+        connection.send(response);
     }
 
     @Override
@@ -535,6 +570,7 @@
 
     private void send(ClientMessageEncoder output) {
         lastProgressAt = frontend.now();
+        answerOwed = false;
         if (answerBatch != null) {
             answerBatch.append(output);
         } else {
--- a/src/main/java/wingroad/driver/ClientFrontend.java
+++ b/src/main/java/wingroad/driver/ClientFrontend.java
@@ -474,6 +474,11 @@
         counters.count(name);
     }
 
+    /** Reports an error whose command has been answered all the same. */
+    void reportUnexpectedError(Throwable error) {
+        loop.reportUnexpectedError(error);
+    }
+
     /** Logs an event of a client connection, see {@link RequestLog}. */
     void log(RequestLog.Kind kind, Supplier<String> text) {
         dispatcher.requestLog().write(kind, dispatcher.now(), text);
--- a/src/main/java/wingroad/driver/TxnDispatcher.java
+++ b/src/main/java/wingroad/driver/TxnDispatcher.java
@@ -40,6 +40,9 @@
         void declined(Duration retryAfter);
 
         void rolledBack();
+
+        /** Called if one of the other methods has thrown: the answer may not have been given. */
+        default void answerFailed() {}
     }
 
     /**
@@ -350,7 +353,7 @@
                                 statement.retry());
                 scheduleRouting();
             }
-        } catch (RuntimeException error) {
+        } catch (RuntimeException | StackOverflowError | OutOfMemoryError error) {
             onUnexpectedError.accept(error);
             openTxns.remove(txn);
             return null;
@@ -372,13 +375,23 @@
                     () -> openTxn.statement.id() + " was still open, and is answered at the exit");
             router().txnAbandoned(clock.now(), txn);
             if (openTxn.dispatched) {
-                openTxn.callback.rolledBack();
+                answer(openTxn, TxnCallback::rolledBack);
             } else {
-                openTxn.callback.declined(null);
+                answer(openTxn, callback -> callback.declined(null));
             }
         }
     }
 
+    /** Gives a txn its final answer; what the callback throws harms no other txn. */
+    private void answer(OpenTxn openTxn, Consumer<TxnCallback> finalAnswer) {
+        try {
+            finalAnswer.accept(openTxn.callback);
+        } catch (RuntimeException | StackOverflowError | OutOfMemoryError error) {
+            onUnexpectedError.accept(error);
+            openTxn.callback.answerFailed();
+        }
+    }
+
     private void passToRouter(Duration now, String txn, OpenTxn openTxn, Duration waited) {
         Double lastWriteUnixMs = openTxn.statement.afterPositionMs();
         router().txnArrived(
@@ -434,7 +447,7 @@
                 outcome == Submission.Outcome.COMMITTED ? closeTxn(request.txn()) : null;
         if (committed != null) {
             notifyTxnEnd(committed, now, true);
-            committed.callback.committed(row);
+            answer(committed, callback -> callback.committed(row));
         }
         try {
             router().submissionEnded(
@@ -447,12 +460,12 @@
                             committed != null,
                             status.role(),
                             status.position());
-        } catch (RuntimeException error) {
+        } catch (RuntimeException | StackOverflowError | OutOfMemoryError error) {
             // The client still gets its answer: the router may have lost track of this txn.
             onUnexpectedError.accept(error);
             OpenTxn unanswered = closeTxn(request.txn());
             if (unanswered != null) {
-                unanswered.callback.rolledBack();
+                answer(unanswered, TxnCallback::rolledBack);
             }
         }
     }
@@ -521,7 +534,7 @@
                                 report.queueLength(),
                                 report.utilization());
             }
-        } catch (RuntimeException error) {
+        } catch (RuntimeException | StackOverflowError | OutOfMemoryError error) {
             // A faulty report must not lose the response that carried it.
             onUnexpectedError.accept(error);
         }
@@ -553,7 +566,7 @@
                     decision = nextDecision(now)) {
                 execute(decision, now);
             }
-        } catch (RuntimeException error) {
+        } catch (RuntimeException | StackOverflowError | OutOfMemoryError error) {
             // This decision is lost; the remaining ones are executed in the next run.
             onUnexpectedError.accept(error);
             scheduleRouting();
@@ -603,7 +616,7 @@
         } else if (!admission.admitted()) {
             closeTxn(admission.queuedTxn().txnId());
             notifyTxnEnd(openTxn, now, false);
-            openTxn.callback.declined(admission.retryAfter());
+            answer(openTxn, callback -> callback.declined(admission.retryAfter()));
         } else {
             try {
                 passToRouter(
@@ -611,10 +624,10 @@
                         admission.queuedTxn().txnId(),
                         openTxn,
                         admission.queuedTxn().queueTime(now));
-            } catch (RuntimeException error) {
+            } catch (RuntimeException | StackOverflowError | OutOfMemoryError error) {
                 onUnexpectedError.accept(error);
                 closeTxn(admission.queuedTxn().txnId());
-                openTxn.callback.rolledBack();
+                answer(openTxn, TxnCallback::rolledBack);
             }
         }
     }
@@ -698,14 +711,14 @@
                                     : fairQueues.retryAfter(now, openTxn.queuedTxn);
                     closeTxn(decision.txn());
                     notifyTxnEnd(openTxn, now, false);
-                    openTxn.callback.declined(retryAfter);
+                    answer(openTxn, callback -> callback.declined(retryAfter));
                 }
             }
             case ROLL_BACK -> {
                 OpenTxn openTxn = closeTxn(decision.txn());
                 if (openTxn != null) {
                     notifyTxnEnd(openTxn, now, false);
-                    openTxn.callback.rolledBack();
+                    answer(openTxn, TxnCallback::rolledBack);
                 }
             }
             case CANCEL -> memberTransport.cancel(decision.txn(), decision.submission());
--- a/src/main/java/wingroad/protocol/ClientMessageEncoder.java
+++ b/src/main/java/wingroad/protocol/ClientMessageEncoder.java
@@ -12,6 +12,7 @@
     /** SQLSTATE of a txn with an unknown outcome: it may or may not have been committed. */
     public static final String ROLLED_BACK = "08007";
 
+    public static final String INTERNAL_ERROR = "XX000";
     public static final String PROTOCOL_VIOLATION = "08P01";
     public static final String FEATURE_NOT_SUPPORTED = "0A000";
     public static final String UNDEFINED_OBJECT = "42704";
--- a/src/main/java/wingroad/transport/Listener.java
+++ b/src/main/java/wingroad/transport/Listener.java
@@ -99,7 +99,7 @@
                                 () -> {
                                     accepting = false;
                                     consecutiveFailures = 0;
-                                    onAccepted.accept(owner -> accepted(guestChannel, owner));
+                                    handOver(guestChannel);
                                     acceptNext();
                                 });
                     }
@@ -124,6 +124,24 @@
                 });
     }
 
+    /** Hands an accepted channel over; closes it, unread, if that fails. */
+    private void handOver(AsynchronousSocketChannel acceptedChannel) {
+        try {
+            onAccepted.accept(owner -> accepted(acceptedChannel, owner));
+        } catch (RuntimeException | StackOverflowError | OutOfMemoryError error) {
+            loop.reportUnexpectedError(error);
+            closeQuietly(acceptedChannel);
+        }
+    }
+
+    private static void closeQuietly(AsynchronousSocketChannel acceptedChannel) {
+        try {
+            acceptedChannel.close();
+        } catch (IOException e) {
+            // The channel is closed in any case.
+        }
+    }
+
     private Connection accepted(AsynchronousSocketChannel channel, Connection.Handler owner) {
         Connection connection = Connection.accepted(loop, channel, owner, maxBufferBytes);
         if (systemBufferBytes > 0) {
--- a/src/test/java/wingroad/driver/ClientConnectionEndTest.java
+++ b/src/test/java/wingroad/driver/ClientConnectionEndTest.java
@@ -10,9 +10,11 @@
 import org.junit.jupiter.api.Test;
 
 import wingroad.rig.Peer;
+import wingroad.state.Submission.Outcome;
 
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
+import java.time.Duration;
 import java.util.Arrays;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
@@ -170,4 +172,26 @@
         assertThat(client.readUntil(READY_FOR_QUERY)).startsWith("I");
         client.close();
     }
+
+    @Test
+    void clientGetsAnErrorIfItsAnswerCannotBeMade() throws Exception {
+        reportPrimary();
+        Peer client = connectClient();
+        client.send(query(readStatement("r")));
+        TxnDispatcher.MemberRequest request =
+                dispatched.poll(WAIT_TIMEOUT_SECONDS, TimeUnit.SECONDS);
+        byte[] noRow = null;
+        loop.execute(
+                () ->
+                        dispatcher.submissionEnded(
+                                request,
+                                Outcome.COMMITTED,
+                                Duration.ofMillis(1),
+                                TxnDispatcher.MemberStatus.UNKNOWN,
+                                noRow));
+        assertThat(client.readUntil(READY_FOR_QUERY)).contains("CXX000");
+        client.send(query(""));
+        assertThat(client.readUntil(READY_FOR_QUERY)).startsWith("I");
+        client.close();
+    }
 }
