Clients: a connection that is closed for its descriptor first answers what was received

Callers would see: their connection closed in the moment in which their command was received. Cause: the longest idle connection was closed at once, whatever the JDK had read for it and not delivered yet. Change: it ends as others do; its descriptor counts as free until then, for eight connections at most, fewer than the process keeps for itself. The deciding of an end has a class of its own now, ConnectionEnding, and what the log tells of a connection as well. The test now waits for the idle state first; its checks are as before. Measured: ClientConnectionEndTest.commandThatArrivesAsTheDescriptorIsNeededIsServed red before, green now; ClientFrontendTest, ConnectionTest, MemberPoolsTest, TxnDispatcherErrorTest, DriverIT and PlannedStopIT green.

--- a/src/main/java/wingroad/driver/ClientConnection.java
+++ b/src/main/java/wingroad/driver/ClientConnection.java
@@ -8,8 +8,6 @@
 
 import java.nio.ByteBuffer;
 import java.time.Duration;
-import java.util.ArrayList;
-import java.util.List;
 import java.util.Map;
 
 /**
@@ -17,7 +15,8 @@
  * one is answered. Its use of memory and time is bounded; {@link #checkTimeouts} enforces the time
  * limits.
  */
-final class ClientConnection implements Connection.Handler, TxnDispatcher.TxnCallback {
+final class ClientConnection
+        implements Connection.Handler, TxnDispatcher.TxnCallback, ConnectionEnding.Subject {
     /**
      * How long the startup message may take. A client must be told of the end within 3 s of its
      * connect; this leaves time for {@link #LINGER_TIMEOUT}.
@@ -90,6 +89,8 @@
     private final ClientMessageDecoder input = new ClientMessageDecoder();
     private Connection connection;
     private final int connectionNumber;
+    private final ClientConnectionLog log;
+    private final ConnectionEnding ending;
     private final Duration connectedAt;
 
     /** When it last sent an answer, made progress in writing, or began to finish. */
@@ -144,20 +145,12 @@
 
     private int discardedBytes;
 
-    /** The connection ends once all that was read is answered; null if it does not end. */
-    private PendingEnd pendingEnd;
-
-    private boolean endCheckScheduled;
-
     /** How many bytes of commands were declined while the connection is ending. */
     private int declinedBytes;
 
     /** Gathers the answers to commands that are declined together; null at other times. */
     private ClientMessageEncoder answerBatch;
 
-    /** The log has told why the connection ends. */
-    private boolean endLogged;
-
     /** The client's presence will be checked. */
     private boolean presenceCheckScheduled;
 
@@ -169,6 +162,8 @@
         this.connectedAt = connectedAt;
         this.lastProgressAt = connectedAt;
         this.connectionNumber = connectionNumber;
+        this.log = new ClientConnectionLog(frontend, connectionNumber);
+        this.ending = new ConnectionEnding(frontend, this);
     }
 
     void begin(Connection connection) {
@@ -248,7 +243,7 @@
             sendBatch();
             declinedBytes += in.position() - start;
             if (!finishing && declinedBytes > MAX_DECLINED_BYTES && !frontend.declinesAll()) {
-                finish(pendingEnd);
+                ending.finishNow(ConnectionEnd.TOO_MANY_REJECTED);
             }
         } else {
             processMessages(in);
@@ -310,8 +305,7 @@
 
     /** Whether commands are declined at once, since the connection is about to end. */
     private boolean declinesCommands() {
-        return frontend.declinesAll()
-                || pendingEnd != null && pendingEnd.reason().declinesCommands();
+        return frontend.declinesAll() || ending.declinesCommands();
     }
 
     private void sendBatch() {
@@ -372,11 +366,8 @@
                 frontend.count("client " + message.reason());
                 // Nothing can be decoded behind it.
                 finish(
-                        new PendingEnd(
-                                ConnectionEnd.MALFORMED_INPUT,
-                                fatalError(
-                                        ClientMessageEncoder.PROTOCOL_VIOLATION,
-                                        message.reason())));
+                        ConnectionEnd.MALFORMED_INPUT,
+                        fatalError(ClientMessageEncoder.PROTOCOL_VIOLATION, message.reason()));
             }
             default -> {
                 finishing = true;
@@ -468,9 +459,7 @@
      */
     private void rejectCommand(String counter, String sqlState, String text, boolean withReady) {
         frontend.count(counter);
-        frontend.log(
-                RequestLog.Kind.REFUSAL,
-                () -> "client " + connectionNumber + ": command rejected: " + text);
+        log.rejected(text);
         if (++rejectedCommandCount >= MAX_REJECTED_COMMAND_COUNT) {
             // Commands behind this one are declined first, so that each has an error.
             end(ConnectionEnd.TOO_MANY_REJECTED, fatalError(sqlState, text));
@@ -513,7 +502,7 @@
     @Override
     public void declined(Duration retryAfter) {
         frontend.count("DECLINED");
-        logRefusal("declined");
+        log.refused(statement, "declined", sinceArrival());
         String retryAfterMs =
                 retryAfter == null ? null : Long.toString(Math.max(1, retryAfter.toMillis()));
         sendFinalAnswer(
@@ -527,28 +516,15 @@
     public void rolledBack() {
         frontend.mayHaveRun(statement);
         frontend.count("ROLLED BACK");
-        logRefusal("rolled back");
+        log.refused(statement, "rolled back", sinceArrival());
         sendFinalAnswer(
                 new ClientMessageEncoder()
                         .errorResponse(false, ClientMessageEncoder.ROLLED_BACK, "rolled back", null)
                         .readyForQuery());
     }
 
-    private void logRefusal(String answer) {
-        Statement refused = statement;
-        Duration sinceArrival = frontend.now().minus(lastArrivalAt);
-        frontend.log(
-                RequestLog.Kind.REFUSAL,
-                () ->
-                        "client "
-                                + connectionNumber
-                                + ": "
-                                + (refused == null ? "a statement" : refused.id())
-                                + " "
-                                + answer
-                                + " after "
-                                + sinceArrival.toMillis()
-                                + " ms");
+    private Duration sinceArrival() {
+        return frontend.now().minus(lastArrivalAt);
     }
 
     private void sendFinalAnswer(ClientMessageEncoder output) {
@@ -586,40 +562,29 @@
         if (connection.hasUnreadBytes()) {
             connection.redeliver();
         } else if (txn == null && hasQueried) {
+            // Nothing is being read if there was no memory for it.
+            connection.startReading();
             frontend.becameIdle(this);
             if (frontend.closing()) {
                 end(ConnectionEnd.STOP);
             }
         }
-        scheduleEndCheck();
+        ending.scheduleCheck();
     }
 
     private static ClientMessageEncoder fatalError(String sqlState, String text) {
         return new ClientMessageEncoder().errorResponse(true, sqlState, text, null);
     }
 
-    /**
-     * Why the connection is about to end.
-     *
-     * @param lastMessage sent behind all answers, or null
-     */
-    private record PendingEnd(ConnectionEnd reason, ClientMessageEncoder lastMessage) {}
-
-    /**
-     * Ends the connection once all commands that were read are answered. What has been received,
-     * but not been handled yet, is looked at first: it may bring the command that an idle
-     * connection was waiting for.
-     */
+    /** Ends the connection once all commands that were read are answered. */
     void end(ConnectionEnd reason) {
         end(reason, null);
     }
 
     private void end(ConnectionEnd reason, ClientMessageEncoder lastMessage) {
-        if (finishing || pendingEnd != null && pendingEnd.reason().declinesCommands()) {
-            return;
+        if (!finishing) {
+            ending.decide(reason, lastMessage);
         }
-        pendingEnd = new PendingEnd(reason, lastMessage);
-        scheduleEndCheck();
     }
 
     /** Declines all further commands at once, and ends the connection behind the last one. */
@@ -629,52 +594,55 @@
         connection.redeliver();
     }
 
-    private void scheduleEndCheck() {
-        if (pendingEnd != null && !endCheckScheduled) {
-            endCheckScheduled = true;
-            frontend.afterPendingReads(this::checkEnd);
+    /** Closes the connection for its descriptor, unless a command has been received meanwhile. */
+    void releaseDescriptor() {
+        if (finishing || frontend.closingChannelsAreMany()) {
+            close(ConnectionEnd.DESCRIPTORS);
+        } else {
+            ending.releaseDescriptor();
         }
     }
 
-    private void checkEnd() {
-        endCheckScheduled = false;
-        if (pendingEnd == null || finishing || connection.isClosed()) {
-            return;
-        }
-        boolean waitsForRest = inCommand() && pendingEnd.reason() == ConnectionEnd.STOP;
-        if (!endStillDue()) {
-            pendingEnd = null;
-        } else if (!busy() && !waitsForRest) {
-            finish(pendingEnd);
-        }
+    /** Whether its descriptor is about to be free. */
+    boolean releasesDescriptor() {
+        return ending.releasesDescriptor();
     }
 
-    /** Whether the reason to end the connection has outlasted what was received meanwhile. */
-    private boolean endStillDue() {
-        return switch (pendingEnd.reason()) {
+    @Override
+    public boolean isStillDue(ConnectionEnd reason) {
+        return switch (reason) {
             case IDLE_TIMEOUT, IDLE_LIMIT -> !busy() && !inCommand();
+            case DESCRIPTORS -> !busy();
             case STARTUP_TIMEOUT -> !started;
             case COMMAND_TIMEOUT -> !busy() && isCommandOverdue(frontend.now());
             default -> true;
         };
     }
 
+    @Override
+    public boolean isDrained(ConnectionEnd reason) {
+        // At a stop the rest of a command is waited for; other reasons are faults of the client.
+        return !busy() && !(inCommand() && reason == ConnectionEnd.STOP);
+    }
+
     private boolean isCommandOverdue(Duration now) {
         return partialCommandSince != null && hasElapsed(partialCommandSince, COMMAND_TIMEOUT, now);
     }
 
     /** Ends the connection with what is being written, whatever else was read. */
     void finishNow(ConnectionEnd reason) {
-        finish(pendingEnd == null ? new PendingEnd(reason, null) : pendingEnd);
+        ending.finishNow(reason);
     }
 
     /** Processes no more commands; the output is shut down after the last answer. */
-    private void finish(PendingEnd end) {
+    @Override
+    public void finish(ConnectionEnd reason, ClientMessageEncoder lastMessage) {
         sendBatch();
-        if (end.lastMessage() != null) {
-            send(end.lastMessage());
+        if (lastMessage != null) {
+            send(lastMessage);
         }
-        logEnd(end.reason(), null);
+        logEnd(reason, null);
+        ending.clear();
         finishing = true;
         lastProgressAt = frontend.now();
         connection.shutdownOutput();
@@ -789,7 +757,8 @@
                 && hasElapsed(lastProgressAt, silence, now);
     }
 
-    void close(ConnectionEnd end) {
+    @Override
+    public void close(ConnectionEnd end) {
         logEnd(end, null);
         connection.close();
         closed();
@@ -812,48 +781,16 @@
         closed();
     }
 
-    /** Logs why the connection ends, once, with the commands that have no whole answer. */
     private void logEnd(ConnectionEnd end, String detail) {
-        if (endLogged) {
-            return;
-        }
-        endLogged = true;
-        List<String> unanswered = unansweredCommands();
-        frontend.log(
-                unanswered.isEmpty() ? RequestLog.Kind.CLOSE : RequestLog.Kind.UNANSWERED,
-                () ->
-                        "client "
-                                + connectionNumber
-                                + " ends: "
-                                + end.description()
-                                + (detail == null ? "" : " (" + detail + ")")
-                                + (unanswered.isEmpty()
-                                        ? ""
-                                        : ", without an answer: " + unanswered));
-    }
-
-    /** What the log calls the commands that were read and have no whole answer, in order. */
-    private List<String> unansweredCommands() {
-        List<String> commands = new ArrayList<>();
-        if (statement != null) {
-            commands.add(statement.id());
-        }
-        if (queuedText != null) {
-            commands.add("a large statement");
-        }
-        if (connection != null && connection.hasUnsentBytes()) {
-            commands.add(0, connection.unsentBytes() + " bytes of answers");
-        }
-        if (connection != null && started) {
-            int waiting = ClientMessageDecoder.countQueries(connection.unreadInput());
-            if (waiting > 0) {
-                commands.add(waiting + " commands sent ahead");
-            }
-        }
-        return commands;
+        log.ended(
+                end,
+                detail,
+                ClientConnectionLog.unanswered(
+                        started ? connection : null, statement, queuedText != null));
     }
 
     private void closed() {
+        ending.clear();
         if (txn != null) {
             frontend.abandon(txn, statement);
             txnEnded();
--- a/src/main/java/wingroad/driver/ClientFrontend.java
+++ b/src/main/java/wingroad/driver/ClientFrontend.java
@@ -29,6 +29,9 @@
     /** Longer names of tenants are cut to this length. */
     private static final int MAX_NAME_CHARS = 128;
 
+    /** Fewer than the descriptors that are left to the process itself. */
+    private static final int MAX_CLOSING_CHANNELS = 8;
+
     private static final Duration TIMEOUT_CHECK_INTERVAL = Duration.ofMillis(100);
 
     /**
@@ -270,7 +273,7 @@
         }
         if (victim != null) {
             counters.count(least.counter);
-            victim.close(ConnectionEnd.DESCRIPTORS);
+            victim.releaseDescriptor();
         }
         return victim != null;
     }
@@ -292,6 +295,9 @@
     }
 
     private static Expendability expendability(ClientConnection connection, Duration now) {
+        if (connection.releasesDescriptor()) {
+            return Expendability.KEPT;
+        }
         if (connection.isDispensable(now, SILENT_CLIENT_GRACE)) {
             return Expendability.DISPENSABLE;
         }
@@ -444,6 +450,16 @@
         }
     }
 
+    /** Counts a connection's descriptor as free, or takes that back with -1. */
+    void addClosingChannels(int count) {
+        loop.addClosingChannels(count);
+    }
+
+    /** Whether no more descriptors may count as free before they are. */
+    boolean closingChannelsAreMany() {
+        return loop.closingChannels() >= MAX_CLOSING_CHANNELS;
+    }
+
     void connectionClosed(ClientConnection connection) {
         connections.remove(connection);
         if (listener != null) {
--- a/src/main/java/wingroad/transport/EventLoop.java
+++ b/src/main/java/wingroad/transport/EventLoop.java
@@ -32,6 +32,7 @@
     private final ArrayDeque<Runnable> tasksInTurn = new ArrayDeque<>();
     private final int maxChannels;
     private int openChannels;
+    private int closingChannels;
     private final long maxBufferedBytes;
     private long bufferedBytes;
     private InputReclaimer inputReclaimer = heldBytes -> false;
@@ -138,9 +139,21 @@
         onUnexpectedError.accept(error);
     }
 
-    /** How many more channels may be opened. */
+    /** How many more channels may be opened, those that are about to close included. */
     public int availableChannels() {
-        return maxChannels - openChannels;
+        return maxChannels - openChannels + closingChannels;
+    }
+
+    /**
+     * Counts a channel as free that its owner closes within a few loop turns, or takes back with
+     * -1.
+     */
+    public void addClosingChannels(int count) {
+        closingChannels += count;
+    }
+
+    public int closingChannels() {
+        return closingChannels;
     }
 
     public int openChannels() {
--- a/src/test/java/wingroad/driver/ClientConnectionEndTest.java
+++ b/src/test/java/wingroad/driver/ClientConnectionEndTest.java
@@ -124,6 +124,26 @@
         client.close();
     }
 
+    @Test
+    void commandThatArrivesAsTheDescriptorIsNeededIsServed() throws Exception {
+        reportPrimary();
+        Peer client = clientWithAnswer();
+        runBesideInput(client, query(readStatement("r")), frontend::closeIdleConnection);
+        commit(dispatched.poll(WAIT_TIMEOUT_SECONDS, TimeUnit.SECONDS));
+        assertThat(client.readUntil(READY_FOR_QUERY)).contains("done");
+        assertThat(loop.closingChannels()).isZero();
+        client.close();
+    }
+
+    @Test
+    void idleConnectionIsClosedForItsDescriptor() throws Exception {
+        Peer client = clientWithAnswer();
+        loop.execute(frontend::closeIdleConnection);
+        assertThat(textToEnd(client)).isEmpty();
+        awaitOnLoop(() -> frontend.connectionCount() == 0 && loop.closingChannels() == 0);
+        client.close();
+    }
+
     @Test
     void commandBehindTooManyRejectedOnesIsAnswered() throws Exception {
         reportPrimary();
--- a/src/test/java/wingroad/driver/ClientFrontendTest.java
+++ b/src/test/java/wingroad/driver/ClientFrontendTest.java
@@ -155,6 +155,8 @@
         clientWithAnswer.readUntil(READY_FOR_QUERY);
         for (Peer client : List.of(clientWithAnswer, connectClient())) {
             byte[] statement = query(writeStatement("half" + (client == clientWithAnswer)));
+            // The last answer counts as written, so that only the half statement is left.
+            awaitOnLoop(frontend::isIdle);
             client.send(Arrays.copyOf(statement, 60));
             awaitOnLoop(() -> !frontend.isIdle());
             loop.execute(frontend::beginClosing);
