Stop: its steps in StopSchedule, with time for a process that was held up; a quiet moment first

Callers would see: a process that was held up for 150 ms around the time of its last answers threw away what they had sent ahead, since two steps of the stop came due at once; and their next command crossed the end of their connection, which came within microseconds of an answer. Change: the steps and their times are in StopSchedule, free of I/O; commands are declined for 60 ms at least, whatever the clock says; all txns are answered 300 ms before the earliest kill (250 before this), the output is shut down 100 ms before it and the exit comes 50 ms before. At a stop a connection ends once it was quiet for 10 ms, or after 30 ms.

--- a/src/main/java/wingroad/driver/ClientConnection.java
+++ b/src/main/java/wingroad/driver/ClientConnection.java
@@ -625,6 +625,11 @@
         return !busy() && !(inCommand() && reason == ConnectionEnd.STOP);
     }
 
+    @Override
+    public Duration lastProgressAt() {
+        return lastProgressAt;
+    }
+
     private boolean isCommandOverdue(Duration now) {
         return partialCommandSince != null && hasElapsed(partialCommandSince, COMMAND_TIMEOUT, now);
     }
--- a/src/main/java/wingroad/driver/Driver.java
+++ b/src/main/java/wingroad/driver/Driver.java
@@ -1,7 +1,5 @@
 package wingroad.driver;
 
-import static wingroad.state.Durations.min;
-
 import sun.misc.Signal;
 
 import wingroad.door.FairQueues;
@@ -33,30 +31,6 @@
  * gracefully on SIGTERM.
  */
 public final class Driver {
-    /** How long new clients are accepted after the signal to stop; they may come for most of it. */
-    private static final Duration ACCEPT_AFTER_STOP = Duration.ofMillis(700);
-
-    /**
-     * The longest expiry that counts towards the time until the process is killed: it is killed no
-     * earlier than the longest expiry, capped at this, plus {@link #ACCEPT_AFTER_STOP} after the
-     * signal to stop. Connected clients are served for that expiry and half of {@link
-     * #ACCEPT_AFTER_STOP}, since they may have no other driver to go to, as in a rolling restart of
-     * the drivers. The other half is left to the txns that are open then.
-     */
-    private static final Duration MAX_COUNTED_EXPIRY = Duration.ofSeconds(3);
-
-    /** How long before the earliest kill the process exits. */
-    private static final Duration KILL_MARGIN = Duration.ofMillis(100);
-
-    /** The least time that clients have at shutdown to read their answer and end their side. */
-    private static final Duration MIN_CLIENT_CLOSE_TIME = Duration.ofMillis(50);
-
-    /**
-     * How long, before the output of all connections is shut down, commands that clients have sent
-     * ahead are declined: those behind the txns that are answered last.
-     */
-    private static final Duration DECLINE_TIME = Duration.ofMillis(100);
-
     private static final Duration COUNTERS_LOG_INTERVAL = Duration.ofSeconds(5);
     private static final Duration SHUTDOWN_CHECK_INTERVAL = Duration.ofMillis(5);
 
@@ -133,26 +107,11 @@
     private boolean reloadRequested;
 
     /** Null until the signal to stop. */
-    private Duration stopRequestedAt;
-
-    /** Null until the signal to stop. */
-    private Duration exitDeadline;
-
-    /** When the last txns are answered and further commands are declined; null until the signal. */
-    private Duration declineAt;
-
-    /** Further commands are declined. */
-    private boolean clientsDeclined;
+    private StopSchedule stopSchedule;
 
     /** The fleet has not confirmed yet that this driver has left. */
     private boolean leavingFleet;
 
-    /** No more clients are accepted. */
-    private boolean listenerClosed;
-
-    /** All client connections have been finished. */
-    private boolean clientsFinished;
-
     private Driver(
             Map<String, String> env,
             Configuration configuration,
@@ -387,7 +346,7 @@
             return;
         }
         try {
-            if (stopRequestedAt == null) {
+            if (stopSchedule == null) {
                 serve();
             }
             ready.complete(null);
@@ -623,35 +582,7 @@
     /** Shuts down gracefully; runs as the shutdown hook, so the process exits when it returns. */
     private void stop() {
         if (stopped.getCount() > 0) {
-            loop.execute(
-                    () -> {
-                        stopRequestedAt = clock.now();
-                        log.info("told to stop, open txns " + dispatcher.openTxnCount());
-                        if (!serving) {
-                            stopped.countDown();
-                            return;
-                        }
-                        Duration serveTime =
-                                min(clientFrontend.longestExpiry(), MAX_COUNTED_EXPIRY);
-                        exitDeadline =
-                                stopRequestedAt
-                                        .plus(serveTime)
-                                        .plus(ACCEPT_AFTER_STOP)
-                                        .minus(KILL_MARGIN);
-                        declineAt = exitDeadline.minus(MIN_CLIENT_CLOSE_TIME).minus(DECLINE_TIME);
-                        dispatcher.setAnswerDeadline(declineAt);
-                        dispatcher.requestLog().setStopping();
-                        clientFrontend.keepIdleConnections();
-                        // Clients that wait for the plan of maintenance work are answered too.
-                        clientFrontend.startAccepting();
-                        if (fleetAgent != null) {
-                            leavingFleet = true;
-                            fleetAgent.leave(() -> loop.execute(this::leftFleet));
-                        }
-                        loop.schedule(
-                                serveTime.plus(ACCEPT_AFTER_STOP.dividedBy(2)), this::beginClosing);
-                        exitWhenDone();
-                    });
+            loop.execute(this::beginStop);
         }
         try {
             stopped.await();
@@ -661,64 +592,87 @@
         }
     }
 
-    private void beginClosing() {
-        logStopPhase("connections end once they are between two txns");
-        clientFrontend.beginClosing();
+    private void beginStop() {
+        stopSchedule = new StopSchedule(clock.now(), clientFrontend.longestExpiry());
+        log.info("told to stop, open txns " + dispatcher.openTxnCount());
+        if (!serving) {
+            stopped.countDown();
+            return;
+        }
+        dispatcher.setAnswerDeadline(stopSchedule.answerDeadline());
+        dispatcher.requestLog().setStopping();
+        clientFrontend.keepIdleConnections();
+        // Clients that wait for the plan of maintenance work are answered too.
+        clientFrontend.startAccepting();
+        if (fleetAgent != null) {
+            leavingFleet = true;
+            fleetAgent.leave(() -> loop.execute(this::leftFleet));
+        }
+        continueStop();
     }
 
-    /** Logs a step of the shutdown with what is open then. */
-    private void logStopPhase(String step) {
+    private void leftFleet() {
+        leavingFleet = false;
+        log.info("fleet: left after " + millisSinceStopRequest() + " ms");
+    }
+
+    private long millisSinceStopRequest() {
+        return stopSchedule.sinceRequest(clock.now()).toMillis();
+    }
+
+    /** Takes the steps of the shutdown that are due; called repeatedly until the exit. */
+    private void continueStop() {
+        StopSchedule.Step step = nextStopStep();
+        while (step != null && step != StopSchedule.Step.EXIT) {
+            takeStopStep(step);
+            step = nextStopStep();
+        }
+        if (step == StopSchedule.Step.EXIT) {
+            exit();
+        } else {
+            loop.schedule(SHUTDOWN_CHECK_INTERVAL, this::continueStop);
+        }
+    }
+
+    private StopSchedule.Step nextStopStep() {
+        return stopSchedule.nextStep(
+                clock.now(),
+                new StopSchedule.Remaining(
+                        clientFrontend.isBacklogEmpty(),
+                        clientFrontend.isIdle(),
+                        clientFrontend.connectionCount(),
+                        dispatcher.openTxnCount(),
+                        leavingFleet));
+    }
+
+    private void takeStopStep(StopSchedule.Step step) {
         log.info(
                 "stop, "
-                        + clock.now().minus(stopRequestedAt).toMillis()
+                        + millisSinceStopRequest()
                         + " ms: "
                         + step
                         + "; client connections "
                         + clientFrontend.connectionCount()
                         + ", open txns "
                         + dispatcher.openTxnCount());
+        switch (step) {
+            case CLOSE_LISTENER -> clientFrontend.stopListening();
+            case BEGIN_CLOSING -> clientFrontend.beginClosing();
+            case DECLINE_COMMANDS -> clientFrontend.declineAll();
+            case SHUT_DOWN_OUTPUT -> {
+                dispatcher.answerOpenTxns();
+                clientFrontend.finishAll();
+            }
+            default -> throw new IllegalStateException("no step to take: " + step);
+        }
     }
 
-    private void leftFleet() {
-        leavingFleet = false;
-        log.info("fleet: left after " + clock.now().minus(stopRequestedAt).toMillis() + " ms");
-    }
-
-    /** Checks repeatedly whether the shutdown has got to its next step. */
-    private void exitWhenDone() {
-        Duration now = clock.now();
-        boolean acceptOver = now.minus(stopRequestedAt).compareTo(ACCEPT_AFTER_STOP) >= 0;
-        if (acceptOver && !listenerClosed && clientFrontend.isBacklogEmpty()) {
-            listenerClosed = true;
-            logStopPhase("no more clients are accepted");
-            clientFrontend.stopListening();
-        }
-        boolean nothingLeft =
-                acceptOver
-                        && clientFrontend.closing()
-                        && dispatcher.openTxnCount() == 0
-                        && clientFrontend.isIdle();
-        if (!clientsDeclined && (nothingLeft || now.compareTo(declineAt) >= 0)) {
-            clientsDeclined = true;
-            logStopPhase("further commands are declined, all connections end");
-            clientFrontend.declineAll();
-        }
-        if (!clientsFinished && now.compareTo(exitDeadline.minus(MIN_CLIENT_CLOSE_TIME)) >= 0) {
-            clientsFinished = true;
-            logStopPhase("the output of all connections is shut down");
-            dispatcher.answerOpenTxns();
-            clientFrontend.finishAll();
-        }
-        boolean allLeft = clientsDeclined && clientFrontend.connectionCount() == 0 && !leavingFleet;
-        if (dispatcher.openTxnCount() == 0 && (allLeft || now.compareTo(exitDeadline) > 0)) {
-            log.info("stops after " + clock.now().minus(stopRequestedAt).toMillis() + " ms");
-            if (fleetAgent != null) {
-                fleetAgent.close();
-            }
-            loop.close();
-            stopped.countDown();
-        } else {
-            loop.schedule(SHUTDOWN_CHECK_INTERVAL, this::exitWhenDone);
+    private void exit() {
+        log.info("stops after " + millisSinceStopRequest() + " ms");
+        if (fleetAgent != null) {
+            fleetAgent.close();
         }
+        loop.close();
+        stopped.countDown();
     }
 }
--- a/src/test/java/wingroad/driver/ClientConnectionEndTest.java
+++ b/src/test/java/wingroad/driver/ClientConnectionEndTest.java
@@ -2,6 +2,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import static wingroad.Fixtures.STARTUP_MESSAGE;
 import static wingroad.Fixtures.concat;
 import static wingroad.Fixtures.message;
 import static wingroad.Fixtures.readStatement;
@@ -113,6 +114,42 @@
         client.close();
     }
 
+    @Test
+    void restThatArrivesWithTheCommandTimeoutIsServed() throws Exception {
+        reportPrimary();
+        Peer client = clientWithAnswer();
+        byte[] read = query(readStatement("r"));
+        client.send(Arrays.copyOf(read, 20));
+        awaitOnLoop(() -> !frontend.isIdle());
+        byte[] rest = concat(Arrays.copyOfRange(read, 20, read.length), query(""));
+        runBesideInput(client, rest, () -> frontend.checkTimeoutsAt(clock.now().plusSeconds(10)));
+        commit(dispatched.poll(WAIT_TIMEOUT_SECONDS, TimeUnit.SECONDS));
+        assertThat(client.readUntil(READY_FOR_QUERY)).contains("done");
+        assertThat(client.readUntil(READY_FOR_QUERY)).startsWith("I");
+        client.close();
+    }
+
+    @Test
+    void startupThatArrivesWithItsTimeoutIsServed() throws Exception {
+        Peer client = Peer.connect(port);
+        awaitOnLoop(() -> frontend.connectionCount() == 1);
+        byte[] input = concat(STARTUP_MESSAGE, query(""));
+        runBesideInput(client, input, () -> frontend.checkTimeoutsAt(clock.now().plusSeconds(10)));
+        client.readUntil(READY_FOR_QUERY);
+        assertThat(client.readUntil(READY_FOR_QUERY)).startsWith("I");
+        client.close();
+    }
+
+    @Test
+    void commandsAheadOfMalformedInputAreAnswered() throws Exception {
+        Peer client = connectClient();
+        sendAtOnce(client, query(""), query(""), new byte[] {'!', 0, 0, 0, 0});
+        String answers = textToEnd(client);
+        assertThat(count(answers, READY_FOR_QUERY)).isEqualTo(2);
+        assertThat(answers).contains("SFATAL", "unknown message type");
+        client.close();
+    }
+
     @Test
     void commandThatArrivesWithTheStopIsAnswered() throws Exception {
         reportPrimary();
--- a/src/test/java/wingroad/rig/PipeliningClient.java
+++ b/src/test/java/wingroad/rig/PipeliningClient.java
@@ -49,6 +49,7 @@
     private long lastKnownOpenNanos;
     private int answerCount;
     private int refusalCount;
+    private int crossedCount;
     private String row;
     private String error;
     private boolean emptyAnswer;
@@ -181,6 +182,7 @@
 
     private void end() {
         ended = true;
+        crossedCount = unanswered.size();
         for (Command command : unanswered) {
             long openAfterSending = lastKnownOpenNanos - command.queuedAtNanos;
             if (openAfterSending > SLACK_NANOS) {
@@ -224,6 +226,11 @@
         return refusalCount;
     }
 
+    /** How many commands were unanswered at the end of the connection, the lost ones included. */
+    public int crossedCount() {
+        return crossedCount;
+    }
+
     /** What was wrong: lost commands, answers out of order, answers to nothing. */
     public List<String> problems() {
         return problems;
--- a/src/test/java/wingroad/rig/StopScene.java
+++ b/src/test/java/wingroad/rig/StopScene.java
@@ -48,6 +48,12 @@
     /** New clients come for this long after SIGTERM. */
     private static final long ARRIVALS_AFTER_STOP_MS = 400;
 
+    /** How long a process may be held up between reading its clock and writing. */
+    private static final int HOLD_UP_MS = 150;
+
+    /** A process that is held up any later has no time left to answer before the kill. */
+    private static final int MIN_HOLD_UP_BEFORE_KILL_MS = 280;
+
     private static final int[] DEADLINES_MS = {200, 500, 1000, 3000, 6000};
     private static final int[] DEPTHS = {1, 2, 6, 30, 200};
     private static final int[] VALUE_BYTES = {2, 2, 2, 5000, 50_000};
@@ -134,6 +140,8 @@
     private final long killAfterMs;
     private final boolean crowded;
     private final boolean largeRows;
+    private final boolean heldUp;
+    private final long holdUpBeforeKillMs;
     private volatile MemberFault primaryFault = MemberFault.NONE;
     private volatile MemberFault replicaFault = MemberFault.NONE;
     private PackagedDriver driver;
@@ -143,6 +151,7 @@
     private final Map<String, Integer> writeRuns = Collections.synchronizedMap(new HashMap<>());
     private int answerCount;
     private int refusalCount;
+    private int crossedCount;
     private long exitedAfterMs = -1;
 
     public StopScene(long seed) {
@@ -152,6 +161,8 @@
         killAfterMs = Math.min(deadlineMs, MAX_COUNTED_DEADLINE_MS) + KILL_AFTER_DEADLINE_MS;
         crowded = random.nextInt(4) == 0;
         largeRows = random.nextInt(4) == 0;
+        heldUp = random.nextInt(3) == 0;
+        holdUpBeforeKillMs = MIN_HOLD_UP_BEFORE_KILL_MS + random.nextInt(HOLD_UP_MS);
     }
 
     /** Scrambles the seed, since close seeds of {@link Random} begin with close numbers. */
@@ -279,12 +290,19 @@
                     stopNanos);
             clients.add(new Client("late" + i));
         }
+        long lastSignalNanos = heldUp ? holdUpNanos(stopNanos) : Long.MAX_VALUE;
         for (long signalMs : furtherSignalsMs) {
-            pollUntil(stopNanos + msToNanos(signalMs), stopNanos);
+            pollUntil(Math.min(stopNanos + msToNanos(signalMs), lastSignalNanos), stopNanos);
             if (driver.isAlive()) {
                 driver.signal(random.nextBoolean() ? "TERM" : "HUP");
             }
         }
+        if (heldUp) {
+            pollUntil(holdUpNanos(stopNanos), stopNanos);
+            driver.signal("STOP");
+            pollUntil(System.nanoTime() + msToNanos(HOLD_UP_MS), stopNanos);
+            driver.signal("CONT");
+        }
         pollUntil(stopNanos + msToNanos(killAfterMs), stopNanos);
         for (Client client : clients) {
             client.connection.endNow();
@@ -294,6 +312,11 @@
         }
     }
 
+    /** When the process is held up: around the time at which it answers what is open. */
+    private long holdUpNanos(long stopNanos) {
+        return stopNanos + msToNanos(killAfterMs - holdUpBeforeKillMs);
+    }
+
     private static long msToNanos(long ms) {
         return TimeUnit.MILLISECONDS.toNanos(ms);
     }
@@ -320,6 +343,7 @@
             problems.addAll(client.connection.problems());
             answerCount += client.connection.answerCount();
             refusalCount += client.connection.refusalCount();
+            crossedCount += client.connection.crossedCount();
         }
         writeRuns.forEach(
                 (id, runs) -> {
@@ -363,10 +387,13 @@
                 + clients.size()
                 + (crowded ? " and a crowd" : "")
                 + (largeRows ? ", large rows" : "")
+                + (heldUp ? ", held up" : "")
                 + "; answers "
                 + answerCount
                 + ", of them errors "
                 + refusalCount
+                + ", crossed the end "
+                + crossedCount
                 + "; exit after "
                 + exitedAfterMs
                 + " ms of "
