Clients: an end gives the polling thread 5 ms, and again after a hold-up, to hand over input

Cause, from the log and the code: after the hold-up the loop's timers are due at once and ended the connections, while the JDK's polling thread had not yet read what the system had received. Ruled out: a forced end (DECLINE_COMMANDS had come, SHUT_DOWN_OUTPUT had not). Change: an end is checked 5 ms after its decision, and 5 ms later again, four times at most, if that check comes late. DriverIT.longestIdleClientsAreClosedAboveIdleLimit was red with this (2.3 s instead of under 1 s): the same connection was chosen again and again while its end was pending; connections whose end is decided are no longer chosen or counted.

--- a/src/main/java/wingroad/driver/ClientConnection.java
+++ b/src/main/java/wingroad/driver/ClientConnection.java
@@ -748,6 +748,11 @@
         return finishing;
     }
 
+    /** Whether its end is decided, or has come. */
+    boolean isEnding() {
+        return finishing || ending.isDecided();
+    }
+
     /** Whether its output was shut down, or it sent no startup message within the limit. */
     boolean isDispensable(Duration now, Duration silentLimit) {
         return finishing && !connection.hasUnsentBytes()
--- a/src/main/java/wingroad/driver/ClientFrontend.java
+++ b/src/main/java/wingroad/driver/ClientFrontend.java
@@ -32,6 +32,12 @@
     /** Fewer than the descriptors that are left to the process itself. */
     private static final int MAX_CLOSING_CHANNELS = 8;
 
+    /** How long the polling thread gets to hand over what the system has received. */
+    private static final Duration READ_GRACE = Duration.ofMillis(5);
+
+    /** How often it gets that anew at most, where the process is held up again and again. */
+    private static final int MAX_READ_GRACES = 4;
+
     private static final Duration TIMEOUT_CHECK_INTERVAL = Duration.ofMillis(100);
 
     /**
@@ -438,11 +444,11 @@
                 connections.size() > loop.maxChannels() / CLIENT_CHANNELS_DIVISOR
                         ? connections
                         : List.<ClientConnection>of()) {
-            queriedCount += connection.hasQueried() && !connection.finishing() ? 1 : 0;
+            queriedCount += connection.hasQueried() && !connection.isEnding() ? 1 : 0;
             longestIdle =
                     longestIdle == null
                                     && connection.hasQueried()
-                                    && !connection.finishing()
+                                    && !connection.isEnding()
                                     && !connection.busy()
                                     && !connection.inCommand()
                             ? connection
@@ -551,11 +557,25 @@
     }
 
     /**
-     * Runs the task behind the reads that have been completed by now: a read's completion may be
-     * queued, and delivers its bytes one loop turn later.
+     * Runs the task once what the system has received by now is delivered: the JDK's polling thread
+     * reads it and queues it for the event loop. If the process is held up meanwhile, that thread
+     * gets its time again afterwards.
      */
     void afterPendingReads(Runnable task) {
-        loop.execute(() -> loop.execute(task));
+        afterPendingReads(task, MAX_READ_GRACES);
+    }
+
+    private void afterPendingReads(Runnable task, int gracesLeft) {
+        Duration lateAt = now().plus(READ_GRACE.multipliedBy(2));
+        Runnable runUnlessLate =
+                () -> {
+                    if (gracesLeft > 0 && now().compareTo(lateAt) > 0) {
+                        afterPendingReads(task, gracesLeft - 1);
+                    } else {
+                        task.run();
+                    }
+                };
+        loop.schedule(READ_GRACE, () -> loop.execute(runUnlessLate));
     }
 
     /** Whether no client waits in the listener's backlog; closing it would reset those. */
--- a/src/main/java/wingroad/driver/ConnectionEnding.java
+++ b/src/main/java/wingroad/driver/ConnectionEnding.java
@@ -91,6 +91,10 @@
         return releasingDescriptor;
     }
 
+    boolean isDecided() {
+        return reason != null;
+    }
+
     /** Whether commands are declined at once, for the reason of the end. */
     boolean declinesCommands() {
         return reason != null && reason.declinesCommands();
