Reload: the files are read on a thread of their own

Callers would see: no answer at all after SIGHUP while the configuration could not be read, and all that was open lost at a stop. Cause: the files were read on the event loop's thread; a read from a lost disk or a named pipe hangs. Change: a thread of its own reads them and posts the results; a SIGHUP meanwhile leads to one more reading.

--- a/src/main/java/wingroad/driver/Driver.java
+++ b/src/main/java/wingroad/driver/Driver.java
@@ -103,9 +103,12 @@
     /** The address is bound; clients may have been accepted. */
     private boolean serving;
 
-    /** A reload was requested before the driver was serving. */
+    /** A reload was requested before the driver was serving, or during another one. */
     private boolean reloadRequested;
 
+    /** The files are being read, on a thread of its own. */
+    private boolean reading;
+
     /** Null until the signal to stop. */
     private StopSchedule stopSchedule;
 
@@ -378,6 +381,7 @@
                         + loop.maxChannels());
         serving = true;
         if (reloadRequested) {
+            reloadRequested = false;
             reload();
         }
     }
@@ -495,16 +499,44 @@
             reloadRequested = true;
             return;
         }
-        reloadOperatorFile();
-        reloadConfiguration();
+        if (reading) {
+            reloadRequested = true;
+            return;
+        }
+        reading = true;
+        Thread reader = new Thread(this::readFiles, "reload");
+        reader.setDaemon(true);
+        reader.start();
     }
 
-    /** Reloads the operator's file; a log line names the first problem of one that is rejected. */
-    private void reloadOperatorFile() {
-        if (operatorPath == null) {
-            return;
+    /** Reads both files on a thread of its own, since a read may hang, and applies them. */
+    private void readFiles() {
+        try {
+            OperatorFile.LoadResult readFile =
+                    operatorPath == null ? null : OperatorFile.read(operatorPath);
+            if (readFile != null) {
+                loop.execute(() -> applyOperatorFile(readFile));
+            }
+            Configuration next = Configuration.read(env);
+            loop.execute(() -> applyConfiguration(next));
+        } catch (Configuration.InvalidConfigurationException e) {
+            log.info("configuration not reloaded, the old one stays in force: " + e.getMessage());
+        } catch (RuntimeException | OutOfMemoryError error) {
+            log.error(error);
         }
-        OperatorFile.LoadResult read = OperatorFile.read(operatorPath);
+        loop.execute(this::filesRead);
+    }
+
+    private void filesRead() {
+        reading = false;
+        if (reloadRequested) {
+            reloadRequested = false;
+            reload();
+        }
+    }
+
+    /** Applies the operator's file; a log line names the first problem of one that is rejected. */
+    private void applyOperatorFile(OperatorFile.LoadResult read) {
         if (read.file() == null) {
             log.info(
                     "operator's file not reloaded, the old one stays in force: "
@@ -540,14 +572,7 @@
                                         + fairQueues.queuedCount()));
     }
 
-    private void reloadConfiguration() {
-        Configuration next;
-        try {
-            next = Configuration.read(env);
-        } catch (Configuration.InvalidConfigurationException e) {
-            log.info("configuration not reloaded, the old one stays in force: " + e.getMessage());
-            return;
-        }
+    private void applyConfiguration(Configuration next) {
         log.info(
                 "configuration reloaded: discovery at "
                         + next.discovery()
--- a/src/test/java/wingroad/driver/PlannedStopIT.java
+++ b/src/test/java/wingroad/driver/PlannedStopIT.java
@@ -19,6 +19,7 @@
 import wingroad.rig.PipeliningClient;
 
 import java.io.IOException;
+import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
@@ -185,4 +186,17 @@
         stopUntilKill();
         assertAllAnswered(1);
     }
+
+    @Test
+    void readsAreAnsweredWhileTheConfigurationCannotBeRead() throws Exception {
+        Path configuration = directory.resolve("config.json");
+        Files.delete(configuration);
+        // Opening a named pipe that nobody writes to hangs, as a folder on a lost disk does.
+        new ProcessBuilder("mkfifo", configuration.toString()).inheritIO().start().waitFor();
+        driver.signal("HUP");
+        client(6, PlannedStopIT::read);
+        driver.signal("HUP");
+        stopUntilKill();
+        assertAllAnswered(6);
+    }
 }
