--- a/src/test/java/wingroad/driver/ClientConnectionEndTest.java
+++ b/src/test/java/wingroad/driver/ClientConnectionEndTest.java
@@ -11,11 +11,9 @@
 import org.junit.jupiter.api.Test;
 
 import wingroad.rig.Peer;
-import wingroad.state.Submission.Outcome;
 
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
-import java.time.Duration;
 import java.util.Arrays;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
@@ -72,6 +70,16 @@
         released.countDown();
     }
 
+    /** An idle client whose command arrives together with a task that ends it, and is served. */
+    private Peer clientServedAlthoughItEndsBy(Runnable task) throws Exception {
+        reportPrimary();
+        Peer client = clientWithAnswer();
+        runBesideInput(client, query(readStatement("r")), task);
+        commit(dispatched.poll(WAIT_TIMEOUT_SECONDS, TimeUnit.SECONDS));
+        assertThat(client.readUntil(READY_FOR_QUERY)).contains("done");
+        return client;
+    }
+
     @Test
     void commandBehindADelayedRejectionIsAnsweredBeforeClosing() throws Exception {
         reportPrimary();
@@ -105,12 +113,9 @@
 
     @Test
     void commandThatArrivesWithTheIdleTimeoutIsServed() throws Exception {
-        reportPrimary();
-        Peer client = clientWithAnswer();
-        byte[] read = query(readStatement("r"));
-        runBesideInput(client, read, () -> frontend.checkTimeoutsAt(clock.now().plusSeconds(10)));
-        commit(dispatched.poll(WAIT_TIMEOUT_SECONDS, TimeUnit.SECONDS));
-        assertThat(client.readUntil(READY_FOR_QUERY)).contains("done");
+        Peer client =
+                clientServedAlthoughItEndsBy(
+                        () -> frontend.checkTimeoutsAt(clock.now().plusSeconds(10)));
         client.close();
     }
 
@@ -152,22 +157,14 @@
 
     @Test
     void commandThatArrivesWithTheStopIsAnswered() throws Exception {
-        reportPrimary();
-        Peer client = clientWithAnswer();
-        runBesideInput(client, query(readStatement("r")), frontend::beginClosing);
-        commit(dispatched.poll(WAIT_TIMEOUT_SECONDS, TimeUnit.SECONDS));
-        assertThat(client.readUntil(READY_FOR_QUERY)).contains("done");
+        Peer client = clientServedAlthoughItEndsBy(frontend::beginClosing);
         assertThat(textToEnd(client)).isEmpty();
         client.close();
     }
 
     @Test
     void commandThatArrivesAsTheDescriptorIsNeededIsServed() throws Exception {
-        reportPrimary();
-        Peer client = clientWithAnswer();
-        runBesideInput(client, query(readStatement("r")), frontend::closeIdleConnection);
-        commit(dispatched.poll(WAIT_TIMEOUT_SECONDS, TimeUnit.SECONDS));
-        assertThat(client.readUntil(READY_FOR_QUERY)).contains("done");
+        Peer client = clientServedAlthoughItEndsBy(frontend::closeIdleConnection);
         awaitOnLoop(() -> loop.closingChannels() == 0);
         client.close();
     }
@@ -237,15 +234,7 @@
         client.send(query(readStatement("r")));
         TxnDispatcher.MemberRequest request =
                 dispatched.poll(WAIT_TIMEOUT_SECONDS, TimeUnit.SECONDS);
-        byte[] noRow = null;
-        loop.execute(
-                () ->
-                        dispatcher.submissionEnded(
-                                request,
-                                Outcome.COMMITTED,
-                                Duration.ofMillis(1),
-                                TxnDispatcher.MemberStatus.UNKNOWN,
-                                noRow));
+        commit(request, null);
         assertThat(client.readUntil(READY_FOR_QUERY)).contains("CXX000");
         client.send(query(""));
         assertThat(client.readUntil(READY_FOR_QUERY)).startsWith("I");
--- a/src/test/java/wingroad/driver/FrontendTestBase.java
+++ b/src/test/java/wingroad/driver/FrontendTestBase.java
@@ -168,6 +168,10 @@
                         message('T', Fixtures.ROW_DESCRIPTION),
                         message('D', Fixtures.dataRowBody("done")),
                         message('C', cString("SELECT 1")));
+        commit(request, rowMessages);
+    }
+
+    void commit(TxnDispatcher.MemberRequest request, byte[] rowMessages) {
         loop.execute(
                 () ->
                         dispatcher.submissionEnded(
